--- /dev/null
+++ b/crates/wirehost/src/instance.rs
@@ -0,0 +1,316 @@
+//! One instance: ids to indices and back, events to the router's calls, its words to actions.
+
+use crate::fields::{Fault, Fields, from_ms, to_ms};
+use emberflow::{
+    Arrival, Bill, Customer, Duties, Effect, EngineId, Fleet, HopBudget, HopEnd, KeyId, Kind, Listing,
+    Notice, Outlet, Router, Scope, Signals, TaskId, TrafficType,
+};
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::io::Write;
+use std::time::Duration;
+
+pub struct Instance {
+    who: u64,
+    router: Router,
+    reported: Vec<String>,
+    names: Names,
+}
+
+#[derive(Default)]
+struct Names {
+    tasks: Index,
+    engines: Index,
+    keys: Index,
+}
+
+#[derive(Default)]
+struct Index {
+    numbers: HashMap<String, usize>,
+    names: Vec<String>,
+}
+
+impl Index {
+    fn number(&mut self, name: &str) -> usize {
+        self.numbers.get(name).copied().unwrap_or_else(|| {
+            self.names.push(name.to_owned());
+            self.numbers.insert(name.to_owned(), self.names.len() - 1);
+            self.names.len() - 1
+        })
+    }
+}
+
+struct Writer<'a> {
+    who: u64,
+    now: Duration,
+    names: &'a Names,
+    reply: &'a mut Vec<u8>,
+}
+
+impl Writer<'_> {
+    fn write(&mut self, mut action: Value) {
+        action["who"] = self.who.into();
+        writeln!(self.reply, "{action}").expect("writing to memory");
+    }
+
+    fn task(&self, task: TaskId) -> &str {
+        &self.names.tasks.names[task as usize]
+    }
+}
+
+impl Outlet for Writer<'_> {
+    fn send(&mut self, task: TaskId, engine: EngineId, until: Duration) {
+        let engine = &self.names.engines.names[engine];
+        let until = to_ms(until.max(self.now));
+        self.write(json!({"op": "PASS_ON", "ref": self.task(task), "engine": engine, "abandonAtMs": until}));
+    }
+    fn terms(&mut self, task: TaskId, grant_mb: f64, priority: u8) {
+        let task = self.task(task);
+        self.write(json!({"op": "PROVIDE", "ref": task, "memoryGrant": grant_mb, "importance": priority}));
+    }
+    fn cancel(&mut self, task: TaskId, hop: usize) {
+        self.write(json!({"op": "ABORT_ATTEMPT", "ref": self.task(task), "hop": hop}));
+    }
+    fn bounce(&mut self, task: TaskId, come_back: Option<Duration>) {
+        let after = come_back.map_or(0.0, to_ms);
+        self.write(json!({"op": "TURN_AWAY", "ref": self.task(task), "retryAfterMs": after}));
+    }
+    fn give_up(&mut self, task: TaskId) {
+        self.write(json!({"op": "ABORT", "ref": self.task(task)}));
+    }
+    fn wake_after(&mut self, wait: Duration) {
+        self.write(json!({"op": "AFTER", "offsetMs": to_ms(wait), "keyBack": 0}));
+    }
+    fn probe(&mut self, engine: EngineId) {
+        self.write(json!({"op": "TOUCH", "engine": self.names.engines.names[engine]}));
+    }
+    fn watch(&mut self) {
+        self.write(json!({"op": "SUBSCRIBE", "on": true}));
+    }
+}
+
+impl Instance {
+    pub fn new(who: u64, line: Fields) -> Result<Self, Fault> {
+        let params = line.part("params")?;
+        let report = params.part("report")?;
+        let reported = match report.text("how")? {
+            "none" => Vec::new(),
+            _ => report.rows("names")?.iter().filter_map(|n| n.as_str().map(str::to_owned)).collect(),
+        };
+        let router = Router::new(fleet(line.whole("rngSeed")?, params)?, traffic(params)?, duties(params)?);
+        Ok(Self { who, router, reported, names: Names::default() })
+    }
+
+    pub fn event(
+        &mut self,
+        op: &str,
+        line: Fields,
+        now: Duration,
+        tables: &HashMap<u64, Vec<Value>>,
+        reply: &mut Vec<u8>,
+    ) -> Result<(), Fault> {
+        let Self { who, router, reported, names } = self;
+        let known = |name| {
+            let name: &str = line.text(name)?;
+            Ok::<_, Fault>(names.tasks.numbers.get(name).map(|t| *t as TaskId))
+        };
+        match op {
+            "ANNOUNCE" => {
+                let mode = line.text("mode")?;
+                if mode == "broken" {
+                    router.list_failed(now, &mut Writer { who: *who, now, names, reply });
+                    return Ok(());
+                }
+                let rows = tables.get(&line.whole("ref")?).ok_or("`ref` names no table")?;
+                let listings = rows.iter().map(|row| listing(Fields(row), &mut names.engines));
+                let listings = listings.collect::<Result<Vec<_>, Fault>>()?;
+                let out = &mut Writer { who: *who, now, names, reply };
+                router.engines_changed(now, mode != "patch", listings, out);
+            }
+            "ACCEPT" => {
+                let arrival = Arrival {
+                    task: names.tasks.number(line.text("ref")?) as TaskId,
+                    traffic: line.index("qos")?,
+                    key: match line.maybe("table") {
+                        Some(_) => Some(names.keys.number(line.text("table")?) as KeyId),
+                        None => None,
+                    },
+                    cost: line.maybe_time("estimateMs").filter(|cost| !cost.is_zero()),
+                    memory_mb: line.maybe_number("needMb").filter(|need| *need > 0.0),
+                    patience: line.time("graceMs")?,
+                    group: line.maybe_number("tableGroup").map(|g| g as u64),
+                    customer: line.maybe_number("org").unwrap_or(0.0) as usize,
+                };
+                router.accept(now, arrival, &mut Writer { who: *who, now, names, reply });
+            }
+            "ENDED" => {
+                let task = known("ref")?;
+                let (engine, hop) = (names.engines.number(line.text("engine")?), line.index("hop")?);
+                let (end, took) = (hop_end(line.text("result")?)?, line.time("delaySeenMs")?);
+                let used = line.maybe_number("usedUp").unwrap_or(0.0) as u64;
+                let bill = (used > 0).then(|| Bill {
+                    cost: Duration::from_millis(used / 4096),
+                    memory_mb: (used % 4096 * 4) as f64,
+                });
+                let signals = signals(reported, line);
+                let over = line.flag("noMore")?;
+                let out = &mut Writer { who: *who, now, names, reply };
+                if let Some(task) = task {
+                    router.hop_ended(now, task, hop, engine, end, took, bill, signals, over, out);
+                }
+            }
+            "NOTICE" => {
+                let (task, hop, value) = (known("ref")?, line.index("hop")?, line.number("value")?);
+                let notice = match (line.whole("sort")?, value) {
+                    (1, done) => Notice::Done(done),
+                    (2, missing_mb) => Notice::Spills(missing_mb),
+                    (3, 1.0) => Notice::WaitsForMemory,
+                    (3, 2.0) => Notice::WaitsForLoad,
+                    (sort, value) => return Err(format!("`sort` {sort} with `value` {value} is unknown")),
+                };
+                if let Some(task) = task {
+                    router.notice(now, task, hop, notice, &mut Writer { who: *who, now, names, reply });
+                }
+            }
+            "CANCELLED_BY_CLIENT" => {
+                if let Some(task) = known("ref")? {
+                    router.client_left(now, task, &mut Writer { who: *who, now, names, reply });
+                }
+            }
+            "PROBE_DONE" => {
+                let engine = names.engines.number(line.text("engine")?);
+                let (end, signals) = (hop_end(line.text("result")?)?, signals(reported, line));
+                router.probed(now, engine, end, signals, &mut Writer { who: *who, now, names, reply });
+            }
+            "BELL" => router.wake(now, &mut Writer { who: *who, now, names, reply }),
+            "INBOX" | "STARTED" => {}
+            _ => return Err(format!("unknown `op` {op}")),
+        }
+        Ok(())
+    }
+}
+
+fn listing(row: Fields, engines: &mut Index) -> Result<Listing, Fault> {
+    Ok(Listing {
+        engine: engines.number(row.text("engine")?),
+        location: row.index("site")?,
+        kind: row.index("flavor")?,
+        cell: row.whole("cohort")?,
+        ready: row.text("condition")? == "healthy",
+        launched: row.maybe_time("launchedMs").filter(|at| !at.is_zero()),
+    })
+}
+
+fn hop_end(result: &str) -> Result<HopEnd, Fault> {
+    Ok(match result {
+        "success" => HopEnd::Succeeded,
+        "failure" => HopEnd::Failed,
+        "overloaded" => HopEnd::Overloaded,
+        "timed_out" => HopEnd::TimedOut,
+        "unreachable" => HopEnd::Unreachable,
+        "broken" => HopEnd::Broken,
+        "withdrawn" => HopEnd::Withdrawn,
+        "void" => HopEnd::Void,
+        other => return Err(format!("unknown `result` {other}")),
+    })
+}
+
+fn signals(reported: &[String], line: Fields) -> Option<Signals> {
+    let row = line.maybe("stats")?.as_array()?;
+    let mut signals = Signals::default();
+    for (name, value) in reported.iter().zip(row) {
+        match name.as_str() {
+            "busy" => signals.busy = value.as_f64(),
+            "q" => signals.waiting = value.as_f64(),
+            "x0" => signals.memory = value.as_f64(),
+            "x1" => signals.disks = value.as_f64(),
+            _ => {}
+        }
+    }
+    Some(signals)
+}
+
+fn fleet(seed: u64, params: Fields) -> Result<Fleet, Fault> {
+    let (caps, domain) = (params.part("caps")?, params.part("domain")?);
+    let cores = domain.rows("kindCores")?.iter();
+    let memory = domain.rows("sizeMb")?.iter();
+    let number = |value: &Value| value.as_f64().unwrap_or(0.0);
+    let customers = params.rows("tenants")?.iter();
+    Ok(Fleet {
+        seed,
+        routers: params.index("instances")?,
+        home: params.index("myZone")?,
+        kinds: cores.zip(memory).map(|(c, m)| Kind { cores: number(c), memory_mb: number(m) }).collect(),
+        largest_share: domain.number("largestShare")?,
+        heeds_priorities: domain.flag("lanesCount")?,
+        note_every: domain.maybe_time("tellsEveryMs").filter(|every| !every.is_zero()),
+        probes: caps.flag("probes")?,
+        list_is_asked: params.text("discovery")? == "ask",
+        tick: params.time("tickMs")?,
+        customers: customers
+            .map(|c| Fields(c).number("quotaRps").map(|tasks_per_s| Customer { tasks_per_s }))
+            .collect::<Result<_, Fault>>()?,
+    })
+}
+
+fn traffic(params: Fields) -> Result<Vec<TrafficType>, Fault> {
+    let domain = params.part("domain")?;
+    let listed = |name: &str, at: usize| domain.rows(name).ok().and_then(|rows| rows.get(at));
+    let holds = |name, at| listed(name, at).and_then(Value::as_bool).unwrap_or(false);
+    let read = |(at, value): (usize, &Value)| {
+        let row = Fields(value);
+        Ok(TrafficType {
+            target: row.time("onTimeMs")?,
+            target_stretch: row.maybe_number("aimStretch").unwrap_or(0.0),
+            patience: row.time("deadlineMs")?,
+            revenue: row.number("gain")?,
+            late_share: row.number("lateShare")?,
+            effect: match row.text("repeat")? {
+                "repeatable" => Effect::Replayable,
+                "once" => Effect::SingleUse,
+                "by_key" => Effect::Referenced {
+                    scope: match row.text("keyScope")? {
+                        "all" => Scope::All,
+                        "zone" => Scope::Location,
+                        "cell" => Scope::Cell,
+                        other => return Err(format!("unknown `keyScope` {other}")),
+                    },
+                    window: row.time("windowMs")?,
+                },
+                other => return Err(format!("unknown `repeat` {other}")),
+            },
+            keeps_order: row.maybe_flag("keepOrder"),
+            kinds: row.maybe_indices("allowedOn"),
+            locations: row.maybe_indices("zonesOpen"),
+            threads: listed("parallelism", at).and_then(Value::as_f64).unwrap_or(1.0),
+            holds_group: holds("writesTables", at),
+            waits_for_loads: holds("blockedByLoads", at),
+        })
+    };
+    params.rows("categories")?.iter().enumerate().map(read).collect()
+}
+
+fn duties(params: Fields) -> Result<Duties, Fault> {
+    let (caps, rules) = (params.part("caps")?, params.part("rules")?);
+    let budget = |over| {
+        Some(HopBudget {
+            spare: rules.maybe_number("spareAttempts").unwrap_or(0.0),
+            per_task: rules.maybe_number("extraPerRequest").unwrap_or(0.0),
+            over,
+        })
+    };
+    Ok(Duties {
+        most_hops: caps.index("mostTries")?,
+        may_cancel: caps.flag("cancel")?,
+        start_capacity: rules.number("startCapacity")?,
+        warm_up: rules.time("warmUpMs")?,
+        overload_factor: rules.number("overloadFactor")?,
+        fall: rules.time("fallMs")?,
+        key_rest: rules.maybe_time("keyQuietMs"),
+        hop_budget: rules.maybe_time("countedOverMs").and_then(budget),
+        longest_come_back: caps
+            .flag("retryAfter")?
+            .then(|| caps.maybe_number("maxRetryAfterMs").map(from_ms))
+            .flatten(),
+    })
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,168 @@
+//! emberflow: the front for query engines with limited memory, as a library without I/O, clock or JSON.
+//!
+//! A caller builds one [`Router`] from the [`Fleet`], the [`TrafficType`]s and the [`Duties`] it was started with,
+//! and reports everything that happens by a method call that takes the time and an [`Outlet`]. The router answers
+//! through that outlet before the call returns, and keeps the tasks and engines itself.
+//!
+//! Times are spans since the caller's start. Tasks, engines and keys are small indices that the caller gives out:
+//! task indices rise in the order of arrival and are never used again.
+
+mod logic;
+mod recent;
+
+pub use logic::Router;
+use std::time::Duration;
+
+pub type TaskId = u32;
+pub type EngineId = usize;
+pub type KeyId = u32;
+
+/// What the router says; every call takes effect at the time of the input being answered.
+pub trait Outlet {
+    /// Sends the task's next hop; it is abandoned at `until`.
+    fn send(&mut self, task: TaskId, engine: EngineId, until: Duration);
+    /// Names the grant of the task's next hop and the priority of all its hops.
+    fn terms(&mut self, task: TaskId, grant_mb: f64, priority: u8);
+    /// Stops waiting for one hop.
+    fn cancel(&mut self, task: TaskId, hop: usize);
+    /// Final answer: not done, a retry is harmless.
+    fn bounce(&mut self, task: TaskId, come_back: Option<Duration>);
+    /// Final answer: not done, nothing promised.
+    fn give_up(&mut self, task: TaskId);
+    /// Asks for a [`Router::wake`] after `wait`.
+    fn wake_after(&mut self, wait: Duration);
+    /// Asks an engine for a sign of life.
+    fn probe(&mut self, engine: EngineId);
+    /// Asks for the changes of the engine list from now on.
+    fn watch(&mut self);
+}
+
+/// The engines' side of what is told at start.
+pub struct Fleet {
+    pub seed: u64,
+    pub routers: usize,
+    pub home: usize,
+    pub kinds: Vec<Kind>,
+    pub largest_share: f64,
+    pub heeds_priorities: bool,
+    pub note_every: Option<Duration>,
+    pub probes: bool,
+    pub list_is_asked: bool,
+    pub tick: Duration,
+    pub customers: Vec<Customer>,
+}
+
+pub struct Kind {
+    pub cores: f64,
+    pub memory_mb: f64,
+}
+
+pub struct Customer {
+    pub tasks_per_s: f64,
+}
+
+pub struct TrafficType {
+    pub target: Duration,
+    pub target_stretch: f64,
+    pub patience: Duration,
+    pub revenue: f64,
+    pub late_share: f64,
+    pub effect: Effect,
+    pub keeps_order: bool,
+    pub kinds: Option<Vec<usize>>,
+    pub locations: Option<Vec<usize>>,
+    pub threads: f64,
+    pub holds_group: bool,
+    pub waits_for_loads: bool,
+}
+
+pub enum Effect {
+    Replayable,
+    Referenced { scope: Scope, window: Duration },
+    SingleUse,
+}
+
+/// The engines that drop each other's repeats of a referenced task.
+#[derive(PartialEq)]
+pub enum Scope {
+    All,
+    Location,
+    Cell,
+}
+
+/// What the seven rules ask for; an absent figure leaves its rule idle.
+pub struct Duties {
+    pub most_hops: usize,
+    pub may_cancel: bool,
+    pub start_capacity: f64,
+    pub warm_up: Duration,
+    pub overload_factor: f64,
+    pub fall: Duration,
+    pub key_rest: Option<Duration>,
+    pub hop_budget: Option<HopBudget>,
+    pub longest_come_back: Option<Duration>,
+}
+
+pub struct HopBudget {
+    pub spare: f64,
+    pub per_task: f64,
+    pub over: Duration,
+}
+
+/// One line of the engine list.
+pub struct Listing {
+    pub engine: EngineId,
+    pub location: usize,
+    pub kind: usize,
+    pub cell: u64,
+    pub ready: bool,
+    pub launched: Option<Duration>,
+}
+
+/// A task as it arrives; what is not told is absent.
+pub struct Arrival {
+    pub task: TaskId,
+    pub traffic: usize,
+    pub key: Option<KeyId>,
+    pub cost: Option<Duration>,
+    pub memory_mb: Option<f64>,
+    pub patience: Duration,
+    pub group: Option<u64>,
+    pub customer: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum HopEnd {
+    Succeeded,
+    Failed,
+    Overloaded,
+    TimedOut,
+    Unreachable,
+    Broken,
+    Withdrawn,
+    Void,
+}
+
+/// The load an engine reports about itself.
+#[derive(Clone, Copy, Default)]
+pub struct Signals {
+    pub busy: Option<f64>,
+    pub waiting: Option<f64>,
+    pub memory: Option<f64>,
+    pub disks: Option<f64>,
+}
+
+/// What a finished hop is billed.
+#[derive(Clone, Copy)]
+pub struct Bill {
+    pub cost: Duration,
+    pub memory_mb: f64,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Notice {
+    Done(f64),
+    Spills(f64),
+    WaitsForMemory,
+    WaitsForLoad,
+}
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,936 @@
+//! The decisions. Callers reach them through the methods of [`Router`], one for each kind of input; what goes in and
+//! the `Outlet` through which answers come out are described in `lib.rs`. After each input the rules at the end of
+//! `settle` run in their order until none fires.
+
+use crate::recent::{Recent, mean, quantile};
+use crate::*;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::Hasher;
+
+/// Part of an engine's memory, within this router's share, that the target starts at (the design's 0.5).
+const TARGET_PART: f64 = 0.5;
+/// F and F3: the parts of the target that small and medium tasks may fill together.
+const SMALL_PART: f64 = 0.3;
+const MEDIUM_PART: f64 = 0.6;
+/// The first threshold, as a part of the memory that goes with one core.
+const UNBLOCKED_PART: f64 = 1.0 / 16.0;
+/// Threads a core that small and medium tasks hold under pressure.
+const SMALL_THREADS: f64 = 4.0;
+const MEDIUM_THREADS: f64 = 1.0;
+/// Margin of a grant over the corrected estimate; the engine's own choice adds as much to the told one.
+const GRANT: f64 = 1.25;
+/// Time-outs of held tasks, by tier, as parts of the way to the target time.
+const HOLD: [f64; 4] = [0.25, 0.25, 0.5, 0.75];
+/// Latency over the fleet's best from which an engine is under pressure.
+const PRESSED: f64 = 2.0;
+/// A reported part of cores, disks or memory that counts as all of it.
+const FULL: f64 = 0.95;
+/// Cores that are busy at the capacity which a warm-up is measured by.
+const CAPACITY: f64 = 0.85;
+/// Remaining time over a fresh run's from which a hop has a bad plan; the same without notes of progress.
+const BAD_PLAN: f64 = 3.0;
+const BAD_PLAN_UNSEEN: f64 = 8.0;
+/// Samples kept of each measurement, and of an engine's last outcomes.
+const SAMPLES: usize = 32;
+const OUTCOMES: usize = 8;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Tier {
+    Unblocked,
+    Small,
+    Medium,
+    Largest,
+}
+
+struct Task {
+    traffic: usize,
+    key: Option<KeyId>,
+    cost: Option<f64>,
+    memory: Option<f64>,
+    group: Option<u64>,
+    arrived: Duration,
+    target: Duration,
+    patience: Duration,
+    over: bool,
+    priority: u8,
+    hops: Vec<Hop>,
+}
+
+struct Hop {
+    engine: EngineId,
+    sent: Duration,
+    tier: Tier,
+    grant: f64,
+    ideal: f64,
+    end: Option<HopEnd>,
+    cancelled: bool,
+    finish: Option<Duration>,
+}
+
+impl Hop {
+    fn may_have_run(&self) -> bool {
+        !matches!(self.end, Some(HopEnd::Overloaded | HopEnd::Unreachable | HopEnd::Void))
+    }
+}
+
+impl Task {
+    fn out(&self) -> bool {
+        self.hops.last().is_some_and(|hop| hop.end.is_none())
+    }
+
+    fn held(&self) -> bool {
+        !self.over && !self.out()
+    }
+
+    /// The hop from which a referenced task's window counts and whose engine sets its group.
+    fn first_that_may_have_run(&self) -> Option<&Hop> {
+        self.hops.iter().find(|hop| hop.may_have_run())
+    }
+}
+
+struct Report {
+    at: Duration,
+    signals: Signals,
+    own_memory: f64,
+    own_threads: f64,
+}
+
+struct Engine {
+    location: usize,
+    kind: usize,
+    cell: u64,
+    ready: bool,
+    launched: Option<Duration>,
+    cold_since: Option<Duration>,
+    out: Vec<(TaskId, usize)>,
+    sent: Recent,
+    stretches: Recent,
+    bad: Recent,
+    heard: Duration,
+    refused: Option<Duration>,
+    report: Option<Report>,
+    groups: VecDeque<u64>,
+}
+
+struct Learned {
+    costs: Recent,
+    memories: Recent,
+    cost_ratios: Recent,
+    memory_ratios: Recent,
+    longest_patience: Duration,
+}
+
+/// Tasks of one key in the order taken, and the rest owed after a hop that may still run.
+#[derive(Default)]
+struct Line {
+    tasks: VecDeque<TaskId>,
+    rest: Option<(TaskId, Duration)>,
+}
+
+/// What one round of the rules sees: latency over an idle engine's, the engines, and the thresholds by kind.
+struct Sight {
+    stretch: f64,
+    engines: BTreeMap<EngineId, Seen>,
+    gateways: Vec<Gateway>,
+}
+
+struct Seen {
+    pressed: Option<bool>,
+    silence: f64,
+    sick: bool,
+    slow: f64,
+}
+
+/// The figures behind one engine kind's thresholds.
+#[derive(Clone)]
+struct Gateway {
+    unblocked: f64,
+    target: f64,
+    engines: f64,
+    small: f64,
+    medium: f64,
+}
+
+impl Gateway {
+    /// The design's categories: the target's parts over this router's mean count per engine, the new task included.
+    fn tier(&self, memory: Option<f64>) -> Tier {
+        let threshold = |part: f64, count: f64| self.target * part * self.engines / (count + 1.0);
+        match memory {
+            None => Tier::Medium,
+            Some(memory) if memory < self.unblocked => Tier::Unblocked,
+            Some(memory) if memory < threshold(SMALL_PART, self.small) => Tier::Small,
+            Some(memory) if memory < threshold(MEDIUM_PART, self.medium) => Tier::Medium,
+            Some(_) => Tier::Largest,
+        }
+    }
+}
+
+pub struct Router {
+    fleet: Fleet,
+    traffic: Vec<TrafficType>,
+    duties: Duties,
+    tasks: BTreeMap<TaskId, Task>,
+    engines: BTreeMap<EngineId, Engine>,
+    lines: BTreeMap<KeyId, Line>,
+    learned: Vec<Learned>,
+    shares: Recent,
+    accepted: VecDeque<Duration>,
+    further: VecDeque<Duration>,
+    wake_due: Duration,
+    watched: bool,
+    draws: u64,
+}
+
+fn seconds(time: Duration) -> f64 {
+    time.as_secs_f64()
+}
+
+fn span(seconds: f64) -> Duration {
+    Duration::from_micros((seconds * 1e6).clamp(0.0, 1e12) as u64)
+}
+
+impl Router {
+    pub fn new(fleet: Fleet, traffic: Vec<TrafficType>, duties: Duties) -> Self {
+        let learned = traffic.iter().map(|_| Learned {
+            costs: Recent::keeping(SAMPLES),
+            memories: Recent::keeping(SAMPLES),
+            cost_ratios: Recent::keeping(SAMPLES),
+            memory_ratios: Recent::keeping(SAMPLES),
+            longest_patience: Duration::ZERO,
+        });
+        Self {
+            learned: learned.collect(),
+            fleet,
+            traffic,
+            duties,
+            tasks: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            shares: Recent::keeping(SAMPLES * OUTCOMES),
+            accepted: VecDeque::new(),
+            further: VecDeque::new(),
+            wake_due: Duration::ZERO,
+            watched: false,
+            draws: 0,
+        }
+    }
+
+    // ---- inputs ----
+
+    pub fn accept(&mut self, now: Duration, arrival: Arrival, out: &mut impl Outlet) {
+        let traffic = &self.traffic[arrival.traffic];
+        let learned = &mut self.learned[arrival.traffic];
+        learned.longest_patience = learned.longest_patience.max(arrival.patience);
+        // A client's later try has less patience than a first one: so much of the way to the target is gone.
+        let spent = learned.longest_patience - arrival.patience;
+        let key = arrival.key.filter(|_| traffic.keeps_order);
+        let mut task = Task {
+            traffic: arrival.traffic,
+            key,
+            cost: arrival.cost.map(seconds),
+            memory: arrival.memory_mb,
+            group: arrival.group,
+            arrived: now,
+            target: now,
+            patience: now + arrival.patience,
+            over: false,
+            priority: 1,
+            hops: Vec::new(),
+        };
+        let stretch = span(traffic.target_stretch * self.ideal(&task));
+        task.target = (now + traffic.target + stretch).saturating_sub(spent).min(task.patience);
+        if let Some(cost) = task.cost {
+            self.learned[arrival.traffic].costs.push(now, cost);
+        }
+        if let Some(key) = key {
+            self.lines.entry(key).or_default().tasks.push_back(arrival.task);
+        }
+        self.tasks.insert(arrival.task, task);
+        self.accepted.push_back(now);
+        self.settle(now, out);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn hop_ended(
+        &mut self,
+        now: Duration,
+        id: TaskId,
+        hop: usize,
+        engine: EngineId,
+        end: HopEnd,
+        took: Duration,
+        bill: Option<Bill>,
+        signals: Option<Signals>,
+        over: bool,
+        out: &mut impl Outlet,
+    ) {
+        self.report(now, engine, signals);
+        let Some(task) = self.tasks.get_mut(&id) else { return self.settle(now, out) };
+        task.over |= over;
+        let (traffic, told_cost, told_memory) = (task.traffic, task.cost, task.memory);
+        let Some(ended) = task.hops.get_mut(hop) else { return self.settle(now, out) };
+        ended.end = Some(end);
+        let (ideal, sent) = (ended.ideal, ended.sent);
+        let may_still_run = matches!(end, HopEnd::TimedOut | HopEnd::Broken | HopEnd::Withdrawn);
+        if let (Some(key), Some(rest), true) = (task.key, self.duties.key_rest, may_still_run) {
+            self.lines.entry(key).or_default().rest = Some((id, now + rest));
+        }
+        if let Some(bill) = bill {
+            let learned = &mut self.learned[traffic];
+            learned.memories.push(now, bill.memory_mb);
+            if let Some(told) = told_memory {
+                learned.memory_ratios.push(now, bill.memory_mb / told);
+            }
+            match told_cost {
+                Some(told) => learned.cost_ratios.push(now, seconds(bill.cost) / told),
+                None => learned.costs.push(now, seconds(bill.cost)),
+            }
+        } else if told_cost.is_none() && end == HopEnd::Succeeded {
+            self.learned[traffic].costs.push(now, seconds(took) * self.traffic[traffic].threads);
+        }
+        let tick = seconds(self.fleet.tick);
+        let Some(engine) = self.engines.get_mut(&engine) else { return self.settle(now, out) };
+        engine.out.retain(|o| *o != (id, hop));
+        match end {
+            HopEnd::Succeeded => {
+                engine.heard = now;
+                engine.bad.push(now, 0.0);
+                engine.stretches.push(now, seconds(now - sent) / (ideal + tick));
+            }
+            HopEnd::Failed => {
+                engine.heard = now;
+                engine.bad.push(now, 1.0);
+            }
+            HopEnd::Overloaded => {
+                engine.heard = now;
+                engine.refused = Some(now);
+            }
+            // Guards against lost machines and halls: two marks, so that the first failed connect counts.
+            HopEnd::Unreachable | HopEnd::Broken => {
+                engine.bad.push(now, 1.0);
+                engine.bad.push(now, 1.0);
+                engine.cold_since = None;
+            }
+            HopEnd::TimedOut => engine.bad.push(now, 1.0),
+            HopEnd::Withdrawn | HopEnd::Void => {}
+        }
+        self.settle(now, out);
+    }
+
+    pub fn notice(&mut self, now: Duration, id: TaskId, hop: usize, notice: Notice, out: &mut impl Outlet) {
+        if let Some(hop_out) = self.tasks.get_mut(&id).and_then(|t| t.hops.get_mut(hop))
+            && let Some(engine) = self.engines.get_mut(&hop_out.engine)
+        {
+            engine.heard = now;
+            match notice {
+                Notice::Done(done) if done > 0.0 => {
+                    let left = seconds(now - hop_out.sent) * (1.0 - done).max(0.0) / done;
+                    hop_out.finish = Some(now + span(left));
+                }
+                Notice::WaitsForMemory => engine.refused = Some(now),
+                _ => {}
+            }
+        }
+        self.settle(now, out);
+    }
+
+    pub fn client_left(&mut self, now: Duration, id: TaskId, out: &mut impl Outlet) {
+        if let Some(task) = self.tasks.get_mut(&id) {
+            task.over = true;
+        }
+        self.settle(now, out);
+    }
+
+    pub fn engines_changed(&mut self, now: Duration, whole: bool, rows: Vec<Listing>, out: &mut impl Outlet) {
+        if whole {
+            self.engines.values_mut().for_each(|engine| engine.ready = false);
+        }
+        for row in rows {
+            let engine = self.engines.entry(row.engine).or_insert_with(|| Engine {
+                location: row.location,
+                kind: row.kind,
+                cell: row.cell,
+                ready: row.ready,
+                launched: row.launched,
+                cold_since: row.launched,
+                out: Vec::new(),
+                sent: Recent::keeping(SAMPLES * SAMPLES),
+                stretches: Recent::keeping(SAMPLES),
+                bad: Recent::keeping(OUTCOMES),
+                heard: now,
+                refused: None,
+                report: None,
+                groups: VecDeque::new(),
+            });
+            engine.ready = row.ready;
+            if row.launched.is_some() && row.launched != engine.launched {
+                engine.launched = row.launched;
+                engine.cold_since = row.launched;
+                engine.groups.clear();
+                engine.stretches.clear();
+                engine.bad.clear();
+                engine.report = None;
+                engine.heard = now;
+            }
+        }
+        self.settle(now, out);
+    }
+
+    pub fn list_failed(&mut self, now: Duration, out: &mut impl Outlet) {
+        self.watched = false;
+        self.settle(now, out);
+    }
+
+    pub fn probed(
+        &mut self,
+        now: Duration,
+        engine: EngineId,
+        end: HopEnd,
+        signals: Option<Signals>,
+        out: &mut impl Outlet,
+    ) {
+        self.report(now, engine, signals);
+        if let Some(engine) = self.engines.get_mut(&engine).filter(|_| end == HopEnd::Succeeded) {
+            engine.heard = now;
+        }
+        self.settle(now, out);
+    }
+
+    pub fn wake(&mut self, now: Duration, out: &mut impl Outlet) {
+        self.settle(now, out);
+    }
+
+    fn report(&mut self, now: Duration, id: EngineId, signals: Option<Signals>) {
+        let (own_memory, own_threads) = self.own(id);
+        let Some((signals, engine)) = signals.zip(self.engines.get_mut(&id)) else { return };
+        if let Some(memory) = signals.memory.filter(|m| *m > 0.0) {
+            let all = memory * self.fleet.kinds[engine.kind].memory_mb;
+            self.shares.push(now, (own_memory / all).min(1.0));
+        }
+        engine.report = Some(Report { at: now, signals, own_memory, own_threads });
+    }
+
+    // ---- figures ----
+
+    /// The shortest target time: the module's measure for what is soon and what is long.
+    fn beat(&self) -> Duration {
+        self.traffic.iter().map(|t| t.target).min().unwrap_or(self.fleet.tick)
+    }
+
+    /// Before which a final answer must be on its way.
+    fn margin(&self) -> Duration {
+        self.fleet.tick * 4
+    }
+
+    /// Seconds of work, as corrected by what such tasks were billed.
+    fn cost(&self, task: &Task) -> f64 {
+        let learned = &self.learned[task.traffic];
+        match task.cost {
+            Some(told) => told * learned.cost_ratios.median().unwrap_or(1.0),
+            None => learned.costs.mean().unwrap_or(0.0),
+        }
+    }
+
+    /// Seconds that the task runs for on an idle engine.
+    fn ideal(&self, task: &Task) -> f64 {
+        self.cost(task) / self.traffic[task.traffic].threads.max(1.0)
+    }
+
+    fn memory(&self, task: &Task) -> f64 {
+        let learned = &self.learned[task.traffic];
+        match task.memory {
+            Some(told) => told * learned.memory_ratios.median().unwrap_or(1.0),
+            None => learned.memories.mean().unwrap_or(0.0),
+        }
+    }
+
+    fn grant(&self, task: &Task, kind: usize) -> f64 {
+        let most = self.fleet.largest_share * self.fleet.kinds[kind].memory_mb;
+        self.memory(task).max(task.memory.unwrap_or(0.0)).min(most / GRANT) * GRANT
+    }
+
+    /// This router's part of the fleet's traffic: its part of the memory that engines report granted, else an
+    /// equal one.
+    fn share(&self) -> f64 {
+        let equal = 1.0 / self.fleet.routers.max(1) as f64;
+        self.shares.mean().map_or(equal, |seen| seen.clamp(equal / 4.0, 1.0))
+    }
+
+    /// MB and threads that this router has out at an engine.
+    fn own(&self, id: EngineId) -> (f64, f64) {
+        let hops = self.engines.get(&id).into_iter().flat_map(|engine| &engine.out);
+        hops.fold((0.0, 0.0), |(memory, threads), (task, hop)| {
+            let task = &self.tasks[task];
+            (memory + task.hops[*hop].grant, threads + self.traffic[task.traffic].threads)
+        })
+    }
+
+    fn sight(&self, now: Duration) -> Sight {
+        let from = now.saturating_sub(self.beat() * 4);
+        let recent = self.engines.values().flat_map(|e| e.stretches.since(from));
+        let stretch = quantile(recent, 0.5).unwrap_or(1.0).max(1.0);
+        let best = quantile(self.engines.values().flat_map(|e| e.stretches.values()), 0.1).unwrap_or(1.0);
+        let see = |engine: &Engine| {
+            let own = quantile(engine.stretches.since(from), 0.5);
+            let silence = self.silence(engine, now, stretch);
+            Seen {
+                pressed: self.pressed(engine, now, own.map(|own| own > PRESSED * best.max(1.0))),
+                silence,
+                sick: silence >= 1.0 || self.failing(engine, now),
+                slow: own.map_or(1.0, |own| (own / stretch).clamp(0.5, 4.0)),
+            }
+        };
+        let engines: BTreeMap<EngineId, Seen> = self.engines.iter().map(|(id, e)| (*id, see(e))).collect();
+        let gateways = (0..self.fleet.kinds.len()).map(|kind| self.gateway(kind, &engines)).collect();
+        Sight { stretch, engines, gateways }
+    }
+
+    /// The target moves with the pressure that the kind's engines show, from half to three halves of its start.
+    fn gateway(&self, kind: usize, seen: &BTreeMap<EngineId, Seen>) -> Gateway {
+        let Kind { cores, memory_mb } = self.fleet.kinds[kind];
+        let engines = || self.engines.iter().filter(|(_, engine)| engine.kind == kind && engine.ready);
+        let mood = |id| match seen[id].pressed {
+            Some(true) => -1.0,
+            Some(false) => 1.0,
+            None => 0.0,
+        };
+        let calm = mean(engines().map(|(id, _)| mood(id))).unwrap_or(0.0);
+        let count = |tier| {
+            let hops = engines().flat_map(|(_, engine)| &engine.out);
+            hops.filter(|(task, hop)| self.tasks[task].hops[*hop].tier == tier).count() as f64
+        };
+        Gateway {
+            unblocked: memory_mb / cores * UNBLOCKED_PART,
+            target: memory_mb * self.share() * TARGET_PART * (1.0 + calm / 2.0),
+            engines: engines().count().max(1) as f64,
+            small: count(Tier::Small),
+            medium: count(Tier::Medium),
+        }
+    }
+
+    /// Whether an engine shows pressure; `None` where nothing recent tells.
+    fn pressed(&self, engine: &Engine, now: Duration, slow: Option<bool>) -> Option<bool> {
+        let from = now.saturating_sub(self.beat() * 2);
+        let refused = engine.refused.is_some_and(|at| at >= from);
+        let reported = engine.report.as_ref().filter(|r| r.at >= from).map(|r| {
+            let s = &r.signals;
+            let full = [s.busy, s.memory, s.disks].iter().any(|part| part.is_some_and(|p| p >= FULL));
+            full || s.waiting.is_some_and(|w| w >= 1.0)
+        });
+        if refused { Some(true) } else { [reported, slow].into_iter().flatten().reduce(|a, b| a || b) }
+    }
+
+    /// No sign from an engine that has hops out, for this many times as long as one should be due in.
+    fn silence(&self, engine: &Engine, now: Duration, stretch: f64) -> f64 {
+        let hops = || engine.out.iter().map(|(task, hop)| &self.tasks[task].hops[*hop]);
+        let Some(oldest) = hops().map(|hop| hop.sent).min() else { return 0.0 };
+        let shortest = hops().map(|hop| hop.ideal).fold(f64::INFINITY, f64::min) * stretch * 3.0;
+        let due = match self.fleet.note_every {
+            Some(every) => seconds(every) * 2.0,
+            None => shortest.max(seconds(self.beat())),
+        };
+        seconds(now.saturating_sub(engine.heard.max(oldest))) / due
+    }
+
+    /// Guards against engines that fail fast or are gone: they look free.
+    fn failing(&self, engine: &Engine, now: Duration) -> bool {
+        let bad = || engine.bad.since(now.saturating_sub(self.beat() * 8));
+        bad().sum::<f64>() >= 2.0 && mean(bad()).is_some_and(|part| part >= 0.3)
+    }
+
+    /// What a task's traffic type may be sent to, by placement and by the group that drops its repeats.
+    fn allowed(&self, task: &Task, engine: &Engine) -> bool {
+        let traffic = &self.traffic[task.traffic];
+        let placed = traffic.kinds.as_ref().is_none_or(|kinds| kinds.contains(&engine.kind))
+            && traffic.locations.as_ref().is_none_or(|places| places.contains(&engine.location));
+        let same_group = match (&traffic.effect, task.first_that_may_have_run()) {
+            (Effect::Referenced { scope, .. }, Some(hop)) => {
+                let first = &self.engines[&hop.engine];
+                match scope {
+                    Scope::All => true,
+                    Scope::Location => first.location == engine.location,
+                    Scope::Cell => first.cell == engine.cell && first.location == engine.location,
+                }
+            }
+            _ => true,
+        };
+        engine.ready && placed && same_group
+    }
+
+    /// Whether effects allow another hop: never while one is out.
+    fn may_run_again(&self, task: &Task, now: Duration) -> bool {
+        let harmless = match (&self.traffic[task.traffic].effect, task.first_that_may_have_run()) {
+            (Effect::Replayable, _) | (_, None) => true,
+            (Effect::SingleUse, Some(_)) => false,
+            (Effect::Referenced { window, .. }, Some(hop)) => now + self.margin() < hop.sent + *window,
+        };
+        harmless && task.hops.len() < self.duties.most_hops
+    }
+
+    fn may_bounce(&self, task: &Task) -> bool {
+        match &self.traffic[task.traffic].effect {
+            Effect::Replayable | Effect::Referenced { scope: Scope::All, .. } => true,
+            _ => task.first_that_may_have_run().is_none(),
+        }
+    }
+
+    /// Further hops that the budget still holds.
+    fn hops_left(&self, now: Duration) -> f64 {
+        let Some(budget) = &self.duties.hop_budget else { return f64::INFINITY };
+        let taken = self.accepted.iter().filter(|at| **at + budget.over > now).count() as f64;
+        let made = self.further.iter().filter(|at| **at + budget.over >= now).count() as f64;
+        budget.spare + budget.per_task * taken - made
+    }
+
+    /// Whether it is this task's turn among those of its key.
+    fn has_turn(&self, id: TaskId, task: &Task, now: Duration) -> bool {
+        let Some(line) = task.key.and_then(|key| self.lines.get(&key)) else { return true };
+        line.tasks.front() == Some(&id) && line.rest.is_none_or(|(by, until)| by == id || until <= now)
+    }
+
+    /// Guards cold engines: this router's equal part of what a starting engine takes in any window, by the usual
+    /// work of the traffic type. Harms by keeping costly types away from a warming engine.
+    fn fits_cold(&self, engine: &Engine, task: &Task, now: Duration) -> bool {
+        let age = engine.cold_since.map(|at| seconds(now.saturating_sub(at)) / seconds(self.duties.warm_up));
+        let Some(warmth) = age.filter(|age| *age < 1.0) else { return true };
+        let start = self.duties.start_capacity;
+        let capacity = self.fleet.kinds[engine.kind].cores * CAPACITY * (start + (1.0 - start) * warmth);
+        let window = seconds(self.duties.fall);
+        let budget = self.duties.overload_factor * capacity * window / self.fleet.routers.max(1) as f64;
+        let usual = self.learned[task.traffic].costs.mean().unwrap_or(0.0).max(seconds(self.fleet.tick));
+        let sent: f64 = engine.sent.since(now.saturating_sub(self.duties.fall)).sum();
+        sent + usual <= budget
+    }
+
+    /// The memory that decides a task's tier; a task with no told cost has none.
+    fn tier_memory(&self, task: &Task) -> Option<f64> {
+        task.cost.map(|_| self.memory(task))
+    }
+
+    /// Whether the tier has a slot open at an engine: largest one at a time, the others bound under pressure.
+    fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, pressed: bool) -> bool {
+        let of_tier = engine.out.iter().map(|(task, hop)| (&self.tasks[task], *hop));
+        let of_tier = of_tier.filter(|(task, hop)| task.hops[*hop].tier == tier);
+        let held: f64 = of_tier.map(|(task, _)| self.traffic[task.traffic].threads).sum();
+        let most = self.fleet.kinds[engine.kind].cores * self.share();
+        match tier {
+            Tier::Unblocked => true,
+            Tier::Largest => held == 0.0,
+            _ if held == 0.0 || !pressed => true,
+            Tier::Small => held + threads <= most * SMALL_THREADS,
+            Tier::Medium => held + threads <= most * MEDIUM_THREADS,
+        }
+    }
+
+    /// Free part of an engine once it has the task: memory and cores, as last reported and changed by this router's
+    /// own hops since, or by its own hops over its share.
+    fn room(&self, id: EngineId, engine: &Engine, task: &Task, now: Duration, slow: f64) -> f64 {
+        let Kind { cores, memory_mb } = self.fleet.kinds[engine.kind];
+        let (own_memory, own_threads) = self.own(id);
+        let (memory, threads) =
+            (own_memory + self.grant(task, engine.kind), own_threads + self.traffic[task.traffic].threads);
+        let fresh = engine.report.as_ref().filter(|r| r.at + self.beat() * 2 >= now);
+        let load = match fresh {
+            Some(Report { signals: Signals { busy: Some(busy), memory: Some(granted), .. }, .. }) => {
+                let then = fresh.map_or((0.0, 0.0), |r| (r.own_memory, r.own_threads));
+                granted + (memory - then.0) / memory_mb + busy + (threads - then.1) / cores
+            }
+            _ => (memory / memory_mb + threads / cores) / self.share(),
+        };
+        1.0 - load / 2.0 * slow
+    }
+
+    fn chance(&mut self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        hasher.write_u64(self.fleet.seed);
+        hasher.write_u64(self.draws);
+        self.draws += 1;
+        hasher.finish()
+    }
+
+    fn held(&self) -> Vec<TaskId> {
+        self.tasks.iter().filter(|(_, task)| task.held()).map(|(id, _)| *id).collect()
+    }
+
+    // ---- effects ----
+
+    fn refuse(&mut self, now: Duration, id: TaskId, out: &mut impl Outlet) {
+        let come_back = self.duties.longest_come_back.map(|longest| self.beat().min(longest));
+        if self.may_bounce(&self.tasks[&id]) {
+            out.bounce(id, come_back);
+        } else {
+            out.give_up(id);
+        }
+        self.tasks.entry(id).and_modify(|task| task.over = true);
+        debug_assert!(now < self.tasks[&id].patience + self.margin());
+    }
+
+    fn send(&mut self, now: Duration, id: TaskId, to: EngineId, tier: Tier, out: &mut impl Outlet) {
+        let task = &self.tasks[&id];
+        let engine = &self.engines[&to];
+        let (grant, ideal) = (self.grant(task, engine.kind), self.ideal(task));
+        let usual = self.learned[task.traffic].costs.mean().unwrap_or(0.0);
+        let until = task.patience.saturating_sub(self.margin());
+        out.terms(id, grant.round(), task.priority);
+        out.send(id, to, until);
+        if !task.hops.is_empty() {
+            self.further.push_back(now);
+        }
+        let group = task.group;
+        let hop =
+            Hop { engine: to, sent: now, tier, grant, ideal, end: None, cancelled: false, finish: None };
+        let hops = &mut self.tasks.get_mut(&id).expect("a held task").hops;
+        hops.push(hop);
+        let hop = hops.len() - 1;
+        let engine = self.engines.get_mut(&to).expect("a listed engine");
+        engine.out.push((id, hop));
+        engine.sent.push(now, usual);
+        if let Some(group) = group {
+            engine.groups.retain(|g| *g != group);
+            engine.groups.push_back(group);
+            if engine.groups.len() > OUTCOMES {
+                engine.groups.pop_front();
+            }
+        }
+    }
+
+    // ---- rules ----
+
+    fn settle<O: Outlet>(&mut self, now: Duration, out: &mut O) {
+        let rules: [fn(&mut Self, Duration, &Sight, &mut O) -> bool; 8] = [
+            Self::forget_what_is_over,
+            Self::answer_in_time,
+            Self::cancel_on_silent_engines,
+            Self::cancel_bad_plans,
+            Self::release,
+            Self::refuse_what_waits_in_vain,
+            Self::set_priorities,
+            Self::stay_awake,
+        ];
+        let mut sight = self.sight(now);
+        while rules.iter().any(|rule| rule(self, now, &sight, out)) {
+            sight = self.sight(now);
+        }
+    }
+
+    fn forget_what_is_over(&mut self, now: Duration, _: &Sight, _: &mut impl Outlet) -> bool {
+        let over = |task: &Task| task.over && task.hops.iter().all(|hop| hop.end.is_some());
+        let gone: BTreeSet<TaskId> = self.tasks.iter().filter(|(_, t)| over(t)).map(|(id, _)| *id).collect();
+        self.tasks.retain(|id, _| !gone.contains(id));
+        if !gone.is_empty() {
+            for line in self.lines.values_mut() {
+                line.tasks.retain(|id| !gone.contains(id));
+            }
+            let resting = |line: &Line| line.rest.is_some_and(|(_, until)| until > now);
+            self.lines.retain(|_, line| !line.tasks.is_empty() || resting(line));
+        }
+        let window = self.duties.hop_budget.as_ref().map_or(Duration::ZERO, |budget| budget.over);
+        while self.accepted.front().is_some_and(|at| *at + window < now) {
+            self.accepted.pop_front();
+        }
+        while self.further.front().is_some_and(|at| *at + window < now) {
+            self.further.pop_front();
+        }
+        !gone.is_empty()
+    }
+
+    /// One final answer before patience ends, and at once where no further hop is allowed.
+    fn answer_in_time(&mut self, now: Duration, _: &Sight, out: &mut impl Outlet) -> bool {
+        let mut fired = false;
+        for id in self.held() {
+            let task = &self.tasks[&id];
+            let late = now + self.margin() * 3 >= task.patience;
+            if late || !task.hops.is_empty() && !self.may_run_again(task, now) {
+                self.refuse(now, id, out);
+                fired = true;
+            }
+        }
+        fired
+    }
+
+    /// Guards against engines that take work and answer nothing: hops are taken back where a repeat is allowed.
+    fn cancel_on_silent_engines(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
+        let silent = self.engines.iter().filter(|(id, _)| sight.engines[id].silence >= 1.5);
+        let hops: Vec<(TaskId, usize)> = silent.flat_map(|(_, engine)| engine.out.iter().copied()).collect();
+        self.cancel(now, hops, out)
+    }
+
+    /// Guards against hops that take many times their expected run while the estimate gives no cause: only a
+    /// task's first hop, since a second one as slow shows a costly task.
+    fn cancel_bad_plans(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
+        let stretch = sight.stretch;
+        let bad = |hop: &Hop| match (hop.finish, self.fleet.note_every) {
+            (Some(finish), _) => {
+                seconds(finish.saturating_sub(now))
+                    > BAD_PLAN * stretch * hop.ideal + seconds(self.fleet.tick)
+            }
+            (None, None) => {
+                seconds(now - hop.sent) > BAD_PLAN_UNSEEN * stretch * hop.ideal + seconds(self.beat())
+            }
+            _ => false,
+        };
+        let first = self.tasks.iter().filter(|(_, t)| t.hops.len() == 1 && t.out() && bad(&t.hops[0]));
+        let hops: Vec<(TaskId, usize)> = first.map(|(id, _)| (*id, 0)).collect();
+        self.cancel(now, hops, out)
+    }
+
+    fn cancel(&mut self, now: Duration, hops: Vec<(TaskId, usize)>, out: &mut impl Outlet) -> bool {
+        let mut fired = false;
+        let mut left = self.hops_left(now);
+        for (id, at) in hops {
+            let task = &self.tasks[&id];
+            let time = seconds(task.patience.saturating_sub(now)) > 2.0 * self.ideal(task);
+            let again = !task.over && time && self.may_run_again(task, now) && left >= 1.0;
+            if self.duties.may_cancel && again && !task.hops[at].cancelled {
+                self.tasks.get_mut(&id).expect("a task out").hops[at].cancelled = true;
+                out.cancel(id, at);
+                left -= 1.0;
+                fired = true;
+            }
+        }
+        fired
+    }
+
+    /// The ordinary path: held tasks leave earliest first per tier, to the engine with most free room.
+    fn release(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
+        let held = self.held();
+        if held.is_empty() {
+            return false;
+        }
+        let mut gateways = sight.gateways.clone();
+        let mut blocked: BTreeSet<(usize, Tier)> = BTreeSet::new();
+        let mut fired = false;
+        for id in held {
+            let task = &self.tasks[&id];
+            let again = task.hops.is_empty() || self.may_run_again(task, now) && self.hops_left(now) >= 1.0;
+            if !again || !self.has_turn(id, task, now) {
+                continue;
+            }
+            let (threads, memory) = (self.traffic[task.traffic].threads, self.tier_memory(task));
+            if gateways
+                .iter()
+                .enumerate()
+                .all(|(kind, gateway)| blocked.contains(&(kind, gateway.tier(memory))))
+            {
+                continue;
+            }
+            let open = |e: &Engine| self.allowed(task, e) && self.fits_cold(e, task, now);
+            let tried = |id: EngineId| task.hops.iter().any(|hop| hop.engine == id);
+            let healthy = |e: EngineId| !sight.engines[&e].sick;
+            let trickled =
+                |e: &Engine| e.out.is_empty() && e.sent.last().is_none_or(|(at, _)| at + self.beat() <= now);
+            let mut ready: Vec<(EngineId, &Engine)> =
+                self.engines.iter().filter(|(_, e)| open(e)).map(|(id, e)| (*id, e)).collect();
+            // When all look bad, serving goes on; else a sick engine gets a trickle.
+            if ready.iter().any(|(id, _)| healthy(*id)) {
+                ready.retain(|(id, e)| healthy(*id) || trickled(e));
+            }
+            if ready.iter().any(|(id, _)| !tried(*id)) {
+                ready.retain(|(id, _)| !tried(*id));
+            }
+            let mut free: Vec<(f64, EngineId, Tier)> = Vec::new();
+            let mut full = Vec::new();
+            for (to, engine) in ready {
+                let (tier, seen) = (gateways[engine.kind].tier(memory), &sight.engines[&to]);
+                if blocked.contains(&(engine.kind, tier)) {
+                    continue;
+                }
+                if self.slot_open(engine, tier, threads, seen.pressed == Some(true)) {
+                    free.push((self.room(to, engine, task, now, seen.slow), to, tier));
+                } else {
+                    full.push((engine.kind, tier));
+                }
+            }
+            full.retain(|slot| !free.iter().any(|(_, to, tier)| (self.engines[to].kind, *tier) == *slot));
+            blocked.extend(full);
+            let most = free.iter().map(|f| f.0).fold(f64::NEG_INFINITY, f64::max);
+            free.retain(|f| f.0 >= most - 1.0 / 32.0);
+            // Near ties only: away from a load that holds the group, to where it was read, to the home location.
+            let liking = |to: EngineId| {
+                let engine = &self.engines[&to];
+                let loads = engine.out.iter().map(|(id, _)| &self.tasks[id]);
+                let held = self.traffic[task.traffic].waits_for_loads
+                    && loads.filter(|t| self.traffic[t.traffic].holds_group).any(|t| t.group == task.group);
+                let warm = task.group.is_some_and(|group| engine.groups.contains(&group));
+                (!held, warm, engine.location == self.fleet.home)
+            };
+            let liked = free.iter().map(|f| liking(f.1)).max();
+            let mut free: Vec<_> = free.iter().filter(|f| Some(liking(f.1)) == liked).copied().collect();
+            free.sort_by_key(|f| f.1);
+            if free.is_empty() {
+                continue;
+            }
+            let (_, to, tier) = free[self.chance() as usize % free.len()];
+            self.send(now, id, to, tier, out);
+            let gateway = &mut gateways[self.engines[&to].kind];
+            gateway.small += f64::from(tier == Tier::Small);
+            gateway.medium += f64::from(tier == Tier::Medium);
+            fired = true;
+        }
+        fired
+    }
+
+    /// Held tasks are refused when the time left cannot cover their run, or after a time-out that grows by tier.
+    fn refuse_what_waits_in_vain(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
+        let mut fired = false;
+        for id in self.held() {
+            let task = &self.tasks[&id];
+            let run = span(self.ideal(task) * sight.stretch);
+            let kinds = self.engines.values().filter(|e| self.allowed(task, e)).map(|e| e.kind);
+            let tier = kinds
+                .map(|kind| sight.gateways[kind].tier(self.tier_memory(task)))
+                .min()
+                .unwrap_or(Tier::Largest);
+            let out_of_time =
+                task.arrived + task.target.saturating_sub(task.arrived).mul_f64(HOLD[tier as usize]);
+            if now + run > task.target || now > out_of_time {
+                self.refuse(now, id, out);
+                fired = true;
+            }
+        }
+        fired
+    }
+
+    /// By revenue for the work, and not for what can no longer earn all of it.
+    fn set_priorities(&mut self, now: Duration, _: &Sight, out: &mut impl Outlet) -> bool {
+        if !self.fleet.heeds_priorities {
+            return false;
+        }
+        let density = |traffic: usize| {
+            self.traffic[traffic].revenue / self.learned[traffic].costs.mean().unwrap_or(f64::INFINITY)
+        };
+        let densities: Vec<f64> = (0..self.traffic.len()).map(density).collect();
+        let most = densities.iter().copied().fold(0.0, f64::max);
+        let wanted = |task: &Task| match () {
+            _ if now > task.target => 0,
+            _ if densities[task.traffic] >= most / 2.0 || self.traffic[task.traffic].holds_group => 2,
+            _ => 1,
+        };
+        let changed = |(id, task): (&TaskId, &Task)| {
+            let priority = wanted(task);
+            (!task.over && priority != task.priority).then_some((*id, priority))
+        };
+        for (id, priority) in self.tasks.iter().filter_map(changed).collect::<Vec<_>>() {
+            let task = self.tasks.get_mut(&id).expect("a task");
+            task.priority = priority;
+            if let Some(hop) = task.hops.last().filter(|hop| hop.end.is_none()) {
+                out.terms(id, hop.grant.round(), priority);
+            }
+        }
+        false
+    }
+
+    fn stay_awake(&mut self, now: Duration, _: &Sight, out: &mut impl Outlet) -> bool {
+        if self.fleet.list_is_asked && !self.watched {
+            self.watched = true;
+            out.watch();
+        }
+        if !self.tasks.is_empty() && self.wake_due <= now {
+            let wait = self.fleet.tick * 8;
+            self.wake_due = now + wait;
+            out.wake_after(wait);
+        }
+        false
+    }
+}
