--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,8 +46,11 @@
 struct Task {
     traffic: usize,
     key: Option<KeyId>,
-    cost: Option<f64>,
-    memory: Option<f64>,
+    told_cost: Option<f64>,
+    told_memory: Option<f64>,
+    /// Seconds that it runs for on an idle engine, and MB, as corrected by what such tasks were billed.
+    ideal: f64,
+    memory: f64,
     group: Option<u64>,
     arrived: Duration,
     target: Duration,
@@ -225,11 +228,20 @@
         // A client's later try has less patience than a first one: so much of the way to the target is gone.
         let spent = learned.longest_patience - arrival.patience;
         let key = arrival.key.filter(|_| traffic.keeps_order);
+        let cost = match arrival.cost.map(seconds) {
+            Some(told) => told * learned.cost_ratios.median().unwrap_or(1.0),
+            None => learned.costs.mean().unwrap_or(0.0),
+        };
         let mut task = Task {
             traffic: arrival.traffic,
             key,
-            cost: arrival.cost.map(seconds),
-            memory: arrival.memory_mb,
+            told_cost: arrival.cost.map(seconds),
+            told_memory: arrival.memory_mb,
+            ideal: cost / traffic.threads.max(1.0),
+            memory: match arrival.memory_mb {
+                Some(told) => told * learned.memory_ratios.median().unwrap_or(1.0),
+                None => learned.memories.mean().unwrap_or(0.0),
+            },
             group: arrival.group,
             arrived: now,
             target: now,
@@ -238,10 +250,10 @@
             priority: 1,
             hops: Vec::new(),
         };
-        let stretch = span(traffic.target_stretch * self.ideal(&task));
+        let stretch = span(traffic.target_stretch * task.ideal);
         task.target = (now + traffic.target + stretch).saturating_sub(spent).min(task.patience);
-        if let Some(cost) = task.cost {
-            self.learned[arrival.traffic].costs.push(now, cost);
+        if arrival.cost.is_some() {
+            learned.costs.push(now, cost);
         }
         if let Some(key) = key {
             self.lines.entry(key).or_default().tasks.push_back(arrival.task);
@@ -268,7 +280,7 @@
         self.report(now, engine, signals);
         let Some(task) = self.tasks.get_mut(&id) else { return self.settle(now, out) };
         task.over |= over;
-        let (traffic, told_cost, told_memory) = (task.traffic, task.cost, task.memory);
+        let (traffic, told_cost, told_memory) = (task.traffic, task.told_cost, task.told_memory);
         let Some(ended) = task.hops.get_mut(hop) else { return self.settle(now, out) };
         ended.end = Some(end);
         let (ideal, sent) = (ended.ideal, ended.sent);
@@ -423,31 +435,9 @@
         self.fleet.tick * 4
     }
 
-    /// Seconds of work, as corrected by what such tasks were billed.
-    fn cost(&self, task: &Task) -> f64 {
-        let learned = &self.learned[task.traffic];
-        match task.cost {
-            Some(told) => told * learned.cost_ratios.median().unwrap_or(1.0),
-            None => learned.costs.mean().unwrap_or(0.0),
-        }
-    }
-
-    /// Seconds that the task runs for on an idle engine.
-    fn ideal(&self, task: &Task) -> f64 {
-        self.cost(task) / self.traffic[task.traffic].threads.max(1.0)
-    }
-
-    fn memory(&self, task: &Task) -> f64 {
-        let learned = &self.learned[task.traffic];
-        match task.memory {
-            Some(told) => told * learned.memory_ratios.median().unwrap_or(1.0),
-            None => learned.memories.mean().unwrap_or(0.0),
-        }
-    }
-
     fn grant(&self, task: &Task, kind: usize) -> f64 {
         let most = self.fleet.largest_share * self.fleet.kinds[kind].memory_mb;
-        self.memory(task).max(task.memory.unwrap_or(0.0)).min(most / GRANT) * GRANT
+        (task.memory.max(task.told_memory.unwrap_or(0.0)) * GRANT).min(most)
     }
 
     /// This router's part of the fleet's traffic: its part of the memory that engines report granted, else an
@@ -605,7 +595,7 @@
 
     /// The memory that decides a task's tier; a task with no told cost has none.
     fn tier_memory(&self, task: &Task) -> Option<f64> {
-        task.cost.map(|_| self.memory(task))
+        task.told_cost.map(|_| task.memory)
     }
 
     /// Whether the tier has a slot open at an engine: largest one at a time, the others bound under pressure.
@@ -669,7 +659,7 @@
     fn send(&mut self, now: Duration, id: TaskId, to: EngineId, tier: Tier, out: &mut impl Outlet) {
         let task = &self.tasks[&id];
         let engine = &self.engines[&to];
-        let (grant, ideal) = (self.grant(task, engine.kind), self.ideal(task));
+        let (grant, ideal) = (self.grant(task, engine.kind), task.ideal);
         let usual = self.learned[task.traffic].costs.mean().unwrap_or(0.0);
         let until = task.patience.saturating_sub(self.margin());
         out.terms(id, grant.round(), task.priority);
@@ -780,7 +770,7 @@
         let mut left = self.hops_left(now);
         for (id, at) in hops {
             let task = &self.tasks[&id];
-            let time = seconds(task.patience.saturating_sub(now)) > 2.0 * self.ideal(task);
+            let time = seconds(task.patience.saturating_sub(now)) > 2.0 * task.ideal;
             let again = !task.over && time && self.may_run_again(task, now) && left >= 1.0;
             if self.duties.may_cancel && again && !task.hops[at].cancelled {
                 self.tasks.get_mut(&id).expect("a task out").hops[at].cancelled = true;
@@ -876,12 +866,10 @@
         let mut fired = false;
         for id in self.held() {
             let task = &self.tasks[&id];
-            let run = span(self.ideal(task) * sight.stretch);
-            let kinds = self.engines.values().filter(|e| self.allowed(task, e)).map(|e| e.kind);
-            let tier = kinds
-                .map(|kind| sight.gateways[kind].tier(self.tier_memory(task)))
-                .min()
-                .unwrap_or(Tier::Largest);
+            let run = span(task.ideal * sight.stretch);
+            let memory = self.tier_memory(task);
+            let tier =
+                sight.gateways.iter().map(|gateway| gateway.tier(memory)).min().unwrap_or(Tier::Largest);
             let out_of_time =
                 task.arrived + task.target.saturating_sub(task.arrived).mul_f64(HOLD[tier as usize]);
             if now + run > task.target || now > out_of_time {
