--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod logic;
 mod recent;
+mod state;
 
 pub use logic::Router;
 use std::time::Duration;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,6 +3,7 @@
 //! `settle` run in their order until none fires.
 
 use crate::recent::{Recent, mean, quantile};
+use crate::state::{Engine, Hop, Learned, Line, Report, Task, Tier};
 use crate::*;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -35,42 +36,6 @@
 const SAMPLES: usize = 32;
 const OUTCOMES: usize = 8;
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Tier {
-    Unblocked,
-    Small,
-    Medium,
-    Largest,
-}
-
-struct Task {
-    traffic: usize,
-    key: Option<KeyId>,
-    told_cost: Option<f64>,
-    told_memory: Option<f64>,
-    /// Seconds that it runs for on an idle engine, and MB, as corrected by what such tasks were billed.
-    ideal: f64,
-    memory: f64,
-    group: Option<u64>,
-    arrived: Duration,
-    target: Duration,
-    patience: Duration,
-    over: bool,
-    priority: u8,
-    hops: Vec<Hop>,
-}
-
-struct Hop {
-    engine: EngineId,
-    sent: Duration,
-    tier: Tier,
-    grant: f64,
-    ideal: f64,
-    end: Option<HopEnd>,
-    cancelled: bool,
-    finish: Option<Duration>,
-}
-
 impl Hop {
     fn may_have_run(&self) -> bool {
         !matches!(self.end, Some(HopEnd::Overloaded | HopEnd::Unreachable | HopEnd::Void))
@@ -92,45 +57,6 @@
     }
 }
 
-struct Report {
-    at: Duration,
-    signals: Signals,
-    own_memory: f64,
-    own_threads: f64,
-}
-
-struct Engine {
-    location: usize,
-    kind: usize,
-    cell: u64,
-    ready: bool,
-    launched: Option<Duration>,
-    cold_since: Option<Duration>,
-    out: Vec<(TaskId, usize)>,
-    sent: Recent,
-    stretches: Recent,
-    bad: Recent,
-    heard: Duration,
-    refused: Option<Duration>,
-    report: Option<Report>,
-    groups: VecDeque<u64>,
-}
-
-struct Learned {
-    costs: Recent,
-    memories: Recent,
-    cost_ratios: Recent,
-    memory_ratios: Recent,
-    longest_patience: Duration,
-}
-
-/// Tasks of one key in the order taken, and the rest owed after a hop that may still run.
-#[derive(Default)]
-struct Line {
-    tasks: VecDeque<TaskId>,
-    rest: Option<(TaskId, Duration)>,
-}
-
 /// What one round of the rules sees: latency over an idle engine's, the engines, and the thresholds by kind.
 struct Sight {
     stretch: f64,
@@ -193,6 +119,9 @@
     Duration::from_micros((seconds * 1e6).clamp(0.0, 1e12) as u64)
 }
 
+/// One rule: a condition and an effect; tells whether it fired.
+type Rule<O> = fn(&mut Router, Duration, &Sight, &mut O) -> bool;
+
 impl Router {
     pub fn new(fleet: Fleet, traffic: Vec<TrafficType>, duties: Duties) -> Self {
         let learned = traffic.iter().map(|_| Learned {
@@ -688,7 +617,7 @@
     // ---- rules ----
 
     fn settle<O: Outlet>(&mut self, now: Duration, out: &mut O) {
-        let rules: [fn(&mut Self, Duration, &Sight, &mut O) -> bool; 8] = [
+        let rules: [Rule<O>; 8] = [
             Self::forget_what_is_over,
             Self::answer_in_time,
             Self::cancel_on_silent_engines,
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,80 @@
+//! What the module remembers of tasks, engines and keys; it decides nothing.
+
+use crate::recent::Recent;
+use crate::*;
+use std::collections::VecDeque;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Tier {
+    Unblocked,
+    Small,
+    Medium,
+    Largest,
+}
+
+pub struct Task {
+    pub traffic: usize,
+    pub key: Option<KeyId>,
+    pub told_cost: Option<f64>,
+    pub told_memory: Option<f64>,
+    /// Seconds that it runs for on an idle engine, and MB, as corrected by what such tasks were billed.
+    pub ideal: f64,
+    pub memory: f64,
+    pub group: Option<u64>,
+    pub arrived: Duration,
+    pub target: Duration,
+    pub patience: Duration,
+    pub over: bool,
+    pub priority: u8,
+    pub hops: Vec<Hop>,
+}
+
+pub struct Hop {
+    pub engine: EngineId,
+    pub sent: Duration,
+    pub tier: Tier,
+    pub grant: f64,
+    pub ideal: f64,
+    pub end: Option<HopEnd>,
+    pub cancelled: bool,
+    pub finish: Option<Duration>,
+}
+
+pub struct Report {
+    pub at: Duration,
+    pub signals: Signals,
+    pub own_memory: f64,
+    pub own_threads: f64,
+}
+
+pub struct Engine {
+    pub location: usize,
+    pub kind: usize,
+    pub cell: u64,
+    pub ready: bool,
+    pub launched: Option<Duration>,
+    pub cold_since: Option<Duration>,
+    pub out: Vec<(TaskId, usize)>,
+    pub sent: Recent,
+    pub stretches: Recent,
+    pub bad: Recent,
+    pub heard: Duration,
+    pub refused: Option<Duration>,
+    pub report: Option<Report>,
+    pub groups: VecDeque<u64>,
+}
+
+pub struct Learned {
+    pub costs: Recent,
+    pub memories: Recent,
+    pub cost_ratios: Recent,
+    pub memory_ratios: Recent,
+    pub longest_patience: Duration,
+}
+
+/// Tasks of one key in the order taken, and the rest owed after a hop that may still run.
+#[derive(Default)]
+pub struct Line {
+    pub tasks: VecDeque<TaskId>,
+    pub rest: Option<(TaskId, Duration)>,
+}
