--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,7 @@
 //! `settle` run in their order until none fires.
 
 use crate::recent::{Recent, mean, quantile};
-use crate::state::{Engine, Hop, Learned, Line, Report, Task, Tier};
+use crate::state::{Engine, Hop, Learned, Line, Task, Tier};
 use crate::*;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -343,13 +343,13 @@
     }
 
     fn report(&mut self, now: Duration, id: EngineId, signals: Option<Signals>) {
-        let (own_memory, own_threads) = self.own(id);
+        let (own_memory, _) = self.own(id, Duration::ZERO);
         let Some((signals, engine)) = signals.zip(self.engines.get_mut(&id)) else { return };
         if let Some(memory) = signals.memory.filter(|m| *m > 0.0) {
             let all = memory * self.fleet.kinds[engine.kind].memory_mb;
             self.shares.push(now, (own_memory / all).min(1.0));
         }
-        engine.report = Some(Report { at: now, signals, own_memory, own_threads });
+        engine.report = Some((now, signals));
     }
 
     // ---- figures ----
@@ -376,12 +376,12 @@
         self.shares.mean().map_or(equal, |seen| seen.clamp(equal / 4.0, 1.0))
     }
 
-    /// MB and threads that this router has out at an engine.
-    fn own(&self, id: EngineId) -> (f64, f64) {
-        let hops = self.engines.get(&id).into_iter().flat_map(|engine| &engine.out);
-        hops.fold((0.0, 0.0), |(memory, threads), (task, hop)| {
-            let task = &self.tasks[task];
-            (memory + task.hops[*hop].grant, threads + self.traffic[task.traffic].threads)
+    /// MB and threads that this router has out at an engine, of hops sent since `from`.
+    fn own(&self, id: EngineId, from: Duration) -> (f64, f64) {
+        let out = self.engines.get(&id).into_iter().flat_map(|engine| &engine.out);
+        let hops = out.map(|(task, hop)| (&self.tasks[task].hops[*hop], self.tasks[task].traffic));
+        hops.filter(|(hop, _)| hop.sent >= from).fold((0.0, 0.0), |(memory, threads), (hop, traffic)| {
+            (memory + hop.grant, threads + self.traffic[traffic].threads)
         })
     }
 
@@ -432,8 +432,7 @@
     fn pressed(&self, engine: &Engine, now: Duration, slow: Option<bool>) -> Option<bool> {
         let from = now.saturating_sub(self.beat() * 2);
         let refused = engine.refused.is_some_and(|at| at >= from);
-        let reported = engine.report.as_ref().filter(|r| r.at >= from).map(|r| {
-            let s = &r.signals;
+        let reported = engine.report.as_ref().filter(|(at, _)| *at >= from).map(|(_, s)| {
             let full = [s.busy, s.memory, s.disks].iter().any(|part| part.is_some_and(|p| p >= FULL));
             full || s.waiting.is_some_and(|w| w >= 1.0)
         });
@@ -542,20 +541,21 @@
         }
     }
 
-    /// Free part of an engine once it has the task: memory and cores, as last reported and changed by this router's
-    /// own hops since, or by its own hops over its share.
+    /// Free part of an engine once it has the task: memory and cores, as last reported with this router's own hops
+    /// that a report may not show yet on top, or by its own hops over its share.
     fn room(&self, id: EngineId, engine: &Engine, task: &Task, now: Duration, slow: f64) -> f64 {
         let Kind { cores, memory_mb } = self.fleet.kinds[engine.kind];
-        let (own_memory, own_threads) = self.own(id);
-        let (memory, threads) =
-            (own_memory + self.grant(task, engine.kind), own_threads + self.traffic[task.traffic].threads);
-        let fresh = engine.report.as_ref().filter(|r| r.at + self.beat() * 2 >= now);
-        let load = match fresh {
-            Some(Report { signals: Signals { busy: Some(busy), memory: Some(granted), .. }, .. }) => {
-                let then = fresh.map_or((0.0, 0.0), |r| (r.own_memory, r.own_threads));
-                granted + (memory - then.0) / memory_mb + busy + (threads - then.1) / cores
+        let (memory, threads) = (self.grant(task, engine.kind), self.traffic[task.traffic].threads);
+        let beat = self.beat();
+        let load = match engine.report.as_ref().filter(|(at, _)| *at + beat * 2 >= now) {
+            Some((at, Signals { busy: Some(busy), memory: Some(granted), .. })) => {
+                let (unseen, unseen_threads) = self.own(id, at.saturating_sub(beat));
+                granted + (unseen + memory) / memory_mb + busy + (unseen_threads + threads) / cores
+            }
+            _ => {
+                let (own, own_threads) = self.own(id, Duration::ZERO);
+                ((own + memory) / memory_mb + (own_threads + threads) / cores) / self.share()
             }
-            _ => (memory / memory_mb + threads / cores) / self.share(),
         };
         1.0 - load / 2.0 * slow
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use crate::*;
 use std::collections::VecDeque;
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Tier {
     Unblocked,
     Small,
@@ -40,13 +40,6 @@
     pub finish: Option<Duration>,
 }
 
-pub struct Report {
-    pub at: Duration,
-    pub signals: Signals,
-    pub own_memory: f64,
-    pub own_threads: f64,
-}
-
 pub struct Engine {
     pub location: usize,
     pub kind: usize,
@@ -60,7 +53,7 @@
     pub bad: Recent,
     pub heard: Duration,
     pub refused: Option<Duration>,
-    pub report: Option<Report>,
+    pub report: Option<(Duration, Signals)>,
     pub groups: VecDeque<u64>,
 }
 
