--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,7 +25,7 @@
 const HOLD: [f64; 4] = [0.25, 0.25, 0.5, 0.75];
 /// Latency over the fleet's best from which an engine is under pressure.
 const PRESSED: f64 = 2.0;
-/// A reported part of memory that counts as all of it.
+/// A reported part of cores, disks or memory that counts as all of it.
 const FULL: f64 = 0.95;
 /// Cores that are busy at the capacity which a warm-up is measured by.
 const CAPACITY: f64 = 0.85;
@@ -433,7 +433,7 @@
         let from = now.saturating_sub(self.beat() * 2);
         let refused = engine.refused.is_some_and(|at| at >= from);
         let reported = engine.report.as_ref().filter(|(at, _)| *at >= from).map(|(_, s)| {
-            let full = s.memory.is_some_and(|part| part >= FULL);
+            let full = [s.busy, s.memory, s.disks].iter().any(|part| part.is_some_and(|p| p >= FULL));
             full || s.waiting.is_some_and(|w| w >= 1.0)
         });
         if refused { Some(true) } else { [reported, slow].into_iter().flatten().reduce(|a, b| a || b) }
