--- a/src/logic.rs
+++ b/src/logic.rs
@@ -57,9 +57,9 @@
     }
 }
 
-/// What one round of the rules sees: latency over an idle engine's, the engines, and the thresholds by kind.
+/// What one round of the rules sees: run over that on an idle engine, by traffic type; the engines; the thresholds.
 struct Sight {
-    stretch: f64,
+    runs: Vec<f64>,
     engines: BTreeMap<EngineId, Seen>,
     gateways: Vec<Gateway>,
 }
@@ -129,6 +129,7 @@
             memories: Recent::keeping(SAMPLES),
             cost_ratios: Recent::keeping(SAMPLES),
             memory_ratios: Recent::keeping(SAMPLES),
+            stretches: Recent::keeping(SAMPLES * 2),
             longest_patience: Duration::ZERO,
         });
         Self {
@@ -237,7 +238,12 @@
             HopEnd::Succeeded => {
                 engine.heard = now;
                 engine.bad.push(now, 0.0);
-                engine.stretches.push(now, seconds(now - sent) / (ideal + tick));
+                let stretch = seconds(now - sent) / (ideal + tick);
+                let stretches = &mut self.learned[traffic].stretches;
+                stretches.push(now, stretch);
+                engine
+                    .stretches
+                    .push(now, stretch / quantile(stretches.values(), 0.1).unwrap_or(1.0).max(1.0));
             }
             HopEnd::Failed => {
                 engine.heard = now;
@@ -389,12 +395,13 @@
         let from = now.saturating_sub(self.beat() * 4);
         let recent = self.engines.values().flat_map(|e| e.stretches.since(from));
         let stretch = quantile(recent, 0.5).unwrap_or(1.0).max(1.0);
-        let best = quantile(self.engines.values().flat_map(|e| e.stretches.values()), 0.1).unwrap_or(1.0);
+        let runs: Vec<f64> =
+            self.learned.iter().map(|learned| learned.stretches.median().unwrap_or(1.0).max(1.0)).collect();
         let see = |engine: &Engine| {
             let own = quantile(engine.stretches.since(from), 0.5);
-            let silence = self.silence(engine, now, stretch);
+            let silence = self.silence(engine, now, &runs);
             Seen {
-                pressed: self.pressed(engine, now, own.map(|own| own > PRESSED * best.max(1.0))),
+                pressed: self.pressed(engine, now, own.map(|own| own > PRESSED)),
                 silence,
                 sick: silence >= 1.0 || self.failing(engine, now),
                 slow: own.map_or(1.0, |own| (own / stretch).clamp(0.5, 4.0)),
@@ -402,7 +409,7 @@
         };
         let engines: BTreeMap<EngineId, Seen> = self.engines.iter().map(|(id, e)| (*id, see(e))).collect();
         let gateways = (0..self.fleet.kinds.len()).map(|kind| self.gateway(kind, &engines)).collect();
-        Sight { stretch, engines, gateways }
+        Sight { runs, engines, gateways }
     }
 
     /// The target moves with the pressure that the kind's engines show, from half to three halves of its start.
@@ -440,15 +447,14 @@
     }
 
     /// No sign from an engine that has hops out, for this many times as long as one should be due in.
-    fn silence(&self, engine: &Engine, now: Duration, stretch: f64) -> f64 {
-        let hops = || engine.out.iter().map(|(task, hop)| &self.tasks[task].hops[*hop]);
-        let Some(oldest) = hops().map(|hop| hop.sent).min() else { return 0.0 };
-        let shortest = hops().map(|hop| hop.ideal).fold(f64::INFINITY, f64::min) * stretch * 3.0;
+    fn silence(&self, engine: &Engine, now: Duration, runs: &[f64]) -> f64 {
+        let hops = || engine.out.iter().map(|(task, hop)| (&self.tasks[task], *hop));
+        let Some(oldest) = hops().map(|(task, hop)| task.hops[hop].sent).min() else { return 0.0 };
         let due = match self.fleet.note_every {
             Some(every) => seconds(every) * 2.0,
-            None => shortest.max(seconds(self.beat())),
+            None => hops().map(|(t, _)| t.ideal * runs[t.traffic] * 3.0).fold(f64::INFINITY, f64::min),
         };
-        seconds(now.saturating_sub(engine.heard.max(oldest))) / due
+        seconds(now.saturating_sub(engine.heard.max(oldest))) / due.max(seconds(self.beat()))
     }
 
     /// Guards against engines that fail fast or are gone: they look free.
@@ -678,8 +684,7 @@
     /// Guards against hops that take many times their expected run while the estimate gives no cause: only a
     /// task's first hop, since a second one as slow shows a costly task.
     fn cancel_bad_plans(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
-        let stretch = sight.stretch;
-        let bad = |hop: &Hop| match (hop.finish, self.fleet.note_every) {
+        let bad = |hop: &Hop, stretch: f64| match (hop.finish, self.fleet.note_every) {
             (Some(finish), _) => {
                 seconds(finish.saturating_sub(now))
                     > BAD_PLAN * stretch * hop.ideal + seconds(self.fleet.tick)
@@ -689,7 +694,10 @@
             }
             _ => false,
         };
-        let first = self.tasks.iter().filter(|(_, t)| t.hops.len() == 1 && t.out() && bad(&t.hops[0]));
+        let first = self
+            .tasks
+            .iter()
+            .filter(|(_, t)| t.hops.len() == 1 && t.out() && bad(&t.hops[0], sight.runs[t.traffic]));
         let hops: Vec<(TaskId, usize)> = first.map(|(id, _)| (*id, 0)).collect();
         self.cancel(now, hops, out)
     }
@@ -795,7 +803,7 @@
         let mut fired = false;
         for id in self.held() {
             let task = &self.tasks[&id];
-            let run = span(task.ideal * sight.stretch);
+            let run = span(task.ideal * sight.runs[task.traffic]);
             let memory = self.tier_memory(task);
             let tier =
                 sight.gateways.iter().map(|gateway| gateway.tier(memory)).min().unwrap_or(Tier::Largest);
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,6 +62,7 @@
     pub memories: Recent,
     pub cost_ratios: Recent,
     pub memory_ratios: Recent,
+    pub stretches: Recent,
     pub longest_patience: Duration,
 }
 
