--- a/src/logic.rs
+++ b/src/logic.rs
@@ -395,8 +395,8 @@
         let from = now.saturating_sub(self.beat() * 4);
         let recent = self.engines.values().flat_map(|e| e.stretches.since(from));
         let stretch = quantile(recent, 0.5).unwrap_or(1.0).max(1.0);
-        let runs: Vec<f64> =
-            self.learned.iter().map(|learned| learned.stretches.median().unwrap_or(1.0).max(1.0)).collect();
+        let run = |l: &Learned| quantile(l.stretches.since(from), 0.5).unwrap_or(1.0).max(1.0);
+        let runs: Vec<f64> = self.learned.iter().map(run).collect();
         let see = |engine: &Engine| {
             let own = quantile(engine.stretches.since(from), 0.5);
             let silence = self.silence(engine, now, &runs);
