--- a/src/logic.rs
+++ b/src/logic.rs
@@ -566,6 +566,17 @@
         1.0 - load / 2.0 * slow
     }
 
+    /// Revenue for a second of the usual work.
+    fn density(&self, traffic: usize) -> f64 {
+        self.traffic[traffic].revenue / self.learned[traffic].costs.mean().unwrap_or(f64::INFINITY)
+    }
+
+    fn earns_little_late(&self, task: &Task, now: Duration) -> bool {
+        let usual = || mean((0..self.traffic.len()).map(|traffic| self.density(traffic))).unwrap_or(0.0);
+        let late = || self.traffic[task.traffic].late_share * self.density(task.traffic);
+        now > task.target && late() < usual() / 4.0
+    }
+
     fn chance(&mut self) -> u64 {
         let mut hasher = DefaultHasher::new();
         hasher.write_u64(self.fleet.seed);
@@ -623,11 +634,12 @@
     // ---- rules ----
 
     fn settle<O: Outlet>(&mut self, now: Duration, out: &mut O) {
-        let rules: [Rule<O>; 8] = [
+        let rules: [Rule<O>; 9] = [
             Self::forget_what_is_over,
             Self::answer_in_time,
             Self::cancel_on_silent_engines,
             Self::cancel_bad_plans,
+            Self::drop_what_is_late,
             Self::release,
             Self::refuse_what_waits_in_vain,
             Self::set_priorities,
@@ -666,7 +678,8 @@
         for id in self.held() {
             let task = &self.tasks[&id];
             let late = now + self.margin() * 3 >= task.patience;
-            if late || !task.hops.is_empty() && !self.may_run_again(task, now) {
+            let again = || self.may_run_again(task, now) && !self.earns_little_late(task, now);
+            if late || !task.hops.is_empty() && !again() {
                 self.refuse(now, id, out);
                 fired = true;
             }
@@ -702,6 +715,25 @@
         self.cancel(now, hops, out)
     }
 
+    /// Under pressure, hops past their target whose type earns little when late make room for those in time.
+    fn drop_what_is_late(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
+        let late = |task: &Task| {
+            let pressed = |hop: &Hop| sight.engines[&hop.engine].pressed == Some(true) && !hop.cancelled;
+            !task.over
+                && task.out()
+                && task.hops.last().is_some_and(pressed)
+                && self.earns_little_late(task, now)
+        };
+        let hops: Vec<TaskId> = self.tasks.iter().filter(|(_, t)| late(t)).map(|(id, _)| *id).collect();
+        let fired = self.duties.may_cancel && !hops.is_empty();
+        for id in hops.into_iter().filter(|_| self.duties.may_cancel) {
+            let hop = self.tasks.get_mut(&id).and_then(|task| task.hops.last_mut()).expect("a hop out");
+            hop.cancelled = true;
+            out.cancel(id, self.tasks[&id].hops.len() - 1);
+        }
+        fired
+    }
+
     fn cancel(&mut self, now: Duration, hops: Vec<(TaskId, usize)>, out: &mut impl Outlet) -> bool {
         let mut fired = false;
         let mut left = self.hops_left(now);
@@ -822,14 +854,11 @@
         if !self.fleet.heeds_priorities {
             return false;
         }
-        let density = |traffic: usize| {
-            self.traffic[traffic].revenue / self.learned[traffic].costs.mean().unwrap_or(f64::INFINITY)
-        };
-        let densities: Vec<f64> = (0..self.traffic.len()).map(density).collect();
+        let densities: Vec<f64> = (0..self.traffic.len()).map(|traffic| self.density(traffic)).collect();
         let most = densities.iter().copied().fold(0.0, f64::max);
         let wanted = |task: &Task| match () {
-            _ if now > task.target => 0,
-            _ if densities[task.traffic] >= most / 2.0 || self.traffic[task.traffic].holds_group => 2,
+            _ if self.traffic[task.traffic].holds_group => 3,
+            _ if densities[task.traffic] >= most / 2.0 => 2,
             _ => 1,
         };
         let changed = |(id, task): (&TaskId, &Task)| {
