--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -2,7 +2,7 @@
 
 use crate::fields::{Fault, Fields, from_ms, to_ms};
 use emberflow::{
-    Arrival, Bill, Customer, Duties, Effect, EngineId, Fleet, HopBudget, HopEnd, KeyId, Kind, Listing,
+    Arrival, Bill, Customer, Duties, Effect, Ended, EngineId, Fleet, HopBudget, HopEnd, KeyId, Kind, Listing,
     Notice, Outlet, Router, Scope, Signals, TaskId, TrafficType,
 };
 use serde_json::{Value, json};
@@ -144,19 +144,24 @@
                 router.accept(now, arrival, &mut Writer { who: *who, now, names, reply });
             }
             "ENDED" => {
-                let task = known("ref")?;
-                let (engine, hop) = (names.engines.number(line.text("engine")?), line.index("hop")?);
-                let (end, took) = (hop_end(line.text("result")?)?, line.time("delaySeenMs")?);
                 let used = line.maybe_number("usedUp").unwrap_or(0.0) as u64;
-                let bill = (used > 0).then(|| Bill {
+                let bill = |used| Bill {
                     cost: Duration::from_millis(used / 4096),
                     memory_mb: (used % 4096 * 4) as f64,
-                });
-                let signals = signals(reported, line);
-                let over = line.flag("noMore")?;
-                let out = &mut Writer { who: *who, now, names, reply };
-                if let Some(task) = task {
-                    router.hop_ended(now, task, hop, engine, end, took, bill, signals, over, out);
+                };
+                let task = known("ref")?;
+                let ended = Ended {
+                    task: task.unwrap_or(TaskId::MAX),
+                    hop: line.index("hop")?,
+                    engine: names.engines.number(line.text("engine")?),
+                    end: hop_end(line.text("result")?)?,
+                    took: line.time("delaySeenMs")?,
+                    bill: (used > 0).then(|| bill(used)),
+                    signals: signals(reported, line),
+                    over: line.flag("noMore")?,
+                };
+                if task.is_some() {
+                    router.hop_ended(now, ended, &mut Writer { who: *who, now, names, reply });
                 }
             }
             "NOTICE" => {
@@ -179,8 +184,9 @@
             }
             "PROBE_DONE" => {
                 let engine = names.engines.number(line.text("engine")?);
-                let (end, signals) = (hop_end(line.text("result")?)?, signals(reported, line));
-                router.probed(now, engine, end, signals, &mut Writer { who: *who, now, names, reply });
+                let well = hop_end(line.text("result")?)? == HopEnd::Succeeded;
+                let signals = signals(reported, line);
+                router.probed(now, engine, well, signals, &mut Writer { who: *who, now, names, reply });
             }
             "BELL" => router.wake(now, &mut Writer { who: *who, now, names, reply }),
             "INBOX" | "STARTED" => {}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -144,6 +144,18 @@
     Void,
 }
 
+/// The outcome of a hop; `over` where the task ended with it or before.
+pub struct Ended {
+    pub task: TaskId,
+    pub hop: usize,
+    pub engine: EngineId,
+    pub end: HopEnd,
+    pub took: Duration,
+    pub bill: Option<Bill>,
+    pub signals: Option<Signals>,
+    pub over: bool,
+}
+
 /// The load an engine reports about itself.
 #[derive(Clone, Copy, Default)]
 pub struct Signals {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,7 @@
 //! `settle` run in their order until none fires.
 
 use crate::recent::{Recent, mean, quantile};
-use crate::state::{Engine, Hop, Learned, Line, Task, Tier};
+use crate::state::{Engine, Gateway, Hop, Learned, Line, Seen, Sight, Task, Tier};
 use crate::*;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -57,30 +57,6 @@
     }
 }
 
-/// What one round of the rules sees: run over that on an idle engine, by traffic type; the engines; the thresholds.
-struct Sight {
-    runs: Vec<f64>,
-    engines: BTreeMap<EngineId, Seen>,
-    gateways: Vec<Gateway>,
-}
-
-struct Seen {
-    pressed: Option<bool>,
-    silence: f64,
-    sick: bool,
-    slow: f64,
-}
-
-/// The figures behind one engine kind's thresholds.
-#[derive(Clone)]
-struct Gateway {
-    unblocked: f64,
-    target: f64,
-    engines: f64,
-    small: f64,
-    medium: f64,
-}
-
 impl Gateway {
     /// The design's categories: the target's parts over this router's mean count per engine, the new task included.
     fn tier(&self, memory: Option<f64>) -> Tier {
@@ -124,16 +100,8 @@
 
 impl Router {
     pub fn new(fleet: Fleet, traffic: Vec<TrafficType>, duties: Duties) -> Self {
-        let learned = traffic.iter().map(|_| Learned {
-            costs: Recent::keeping(SAMPLES),
-            memories: Recent::keeping(SAMPLES),
-            cost_ratios: Recent::keeping(SAMPLES),
-            memory_ratios: Recent::keeping(SAMPLES),
-            stretches: Recent::keeping(SAMPLES * 2),
-            longest_patience: Duration::ZERO,
-        });
         Self {
-            learned: learned.collect(),
+            learned: traffic.iter().map(|_| Learned::keeping(SAMPLES)).collect(),
             fleet,
             traffic,
             duties,
@@ -193,27 +161,15 @@
         self.settle(now, out);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    pub fn hop_ended(
-        &mut self,
-        now: Duration,
-        id: TaskId,
-        hop: usize,
-        engine: EngineId,
-        end: HopEnd,
-        took: Duration,
-        bill: Option<Bill>,
-        signals: Option<Signals>,
-        over: bool,
-        out: &mut impl Outlet,
-    ) {
+    pub fn hop_ended(&mut self, now: Duration, hop: Ended, out: &mut impl Outlet) {
+        let Ended { task: id, hop, engine, end, took, bill, signals, over } = hop;
         self.report(now, engine, signals);
         let Some(task) = self.tasks.get_mut(&id) else { return self.settle(now, out) };
         task.over |= over;
         let (traffic, told_cost, told_memory) = (task.traffic, task.told_cost, task.told_memory);
         let Some(ended) = task.hops.get_mut(hop) else { return self.settle(now, out) };
         ended.end = Some(end);
-        let (ideal, sent) = (ended.ideal, ended.sent);
+        let (ideal, sent, engine) = (ended.ideal, ended.sent, ended.engine);
         let may_still_run = matches!(end, HopEnd::TimedOut | HopEnd::Broken | HopEnd::Withdrawn);
         if let (Some(key), Some(rest), true) = (task.key, self.duties.key_rest, may_still_run) {
             self.lines.entry(key).or_default().rest = Some((id, now + rest));
@@ -259,8 +215,9 @@
                 engine.bad.push(now, 1.0);
                 engine.cold_since = None;
             }
-            HopEnd::TimedOut => engine.bad.push(now, 1.0),
-            HopEnd::Withdrawn | HopEnd::Void => {}
+            // Guards against a silent engine that looks free once its hops are taken back.
+            HopEnd::TimedOut | HopEnd::Withdrawn if engine.heard <= sent => engine.bad.push(now, 1.0),
+            HopEnd::TimedOut | HopEnd::Withdrawn | HopEnd::Void => {}
         }
         self.settle(now, out);
     }
@@ -294,22 +251,8 @@
             self.engines.values_mut().for_each(|engine| engine.ready = false);
         }
         for row in rows {
-            let engine = self.engines.entry(row.engine).or_insert_with(|| Engine {
-                location: row.location,
-                kind: row.kind,
-                cell: row.cell,
-                ready: row.ready,
-                launched: row.launched,
-                cold_since: row.launched,
-                out: Vec::new(),
-                sent: Recent::keeping(SAMPLES * SAMPLES),
-                stretches: Recent::keeping(SAMPLES),
-                bad: Recent::keeping(OUTCOMES),
-                heard: now,
-                refused: None,
-                report: None,
-                groups: VecDeque::new(),
-            });
+            let new = || Engine::listed(&row, now, SAMPLES, OUTCOMES);
+            let engine = self.engines.entry(row.engine).or_insert_with(new);
             engine.ready = row.ready;
             if row.launched.is_some() && row.launched != engine.launched {
                 engine.launched = row.launched;
@@ -333,12 +276,12 @@
         &mut self,
         now: Duration,
         engine: EngineId,
-        end: HopEnd,
+        well: bool,
         signals: Option<Signals>,
         out: &mut impl Outlet,
     ) {
         self.report(now, engine, signals);
-        if let Some(engine) = self.engines.get_mut(&engine).filter(|_| end == HopEnd::Succeeded) {
+        if let Some(engine) = self.engines.get_mut(&engine).filter(|_| well) {
             engine.heard = now;
         }
         self.settle(now, out);
@@ -474,7 +417,7 @@
                 match scope {
                     Scope::All => true,
                     Scope::Location => first.location == engine.location,
-                    Scope::Cell => first.cell == engine.cell && first.location == engine.location,
+                    Scope::Cell => first.cell == engine.cell,
                 }
             }
             _ => true,
@@ -850,7 +793,7 @@
     }
 
     /// By revenue for the work, and not for what can no longer earn all of it.
-    fn set_priorities(&mut self, now: Duration, _: &Sight, out: &mut impl Outlet) -> bool {
+    fn set_priorities(&mut self, _: Duration, _: &Sight, out: &mut impl Outlet) -> bool {
         if !self.fleet.heeds_priorities {
             return false;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::recent::Recent;
 use crate::*;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Tier {
@@ -72,3 +72,62 @@
     pub tasks: VecDeque<TaskId>,
     pub rest: Option<(TaskId, Duration)>,
 }
+
+/// What one round of the rules sees: run over that on an idle engine, by traffic type; the engines; the thresholds.
+pub struct Sight {
+    pub runs: Vec<f64>,
+    pub engines: BTreeMap<EngineId, Seen>,
+    pub gateways: Vec<Gateway>,
+}
+
+pub struct Seen {
+    pub pressed: Option<bool>,
+    pub silence: f64,
+    pub sick: bool,
+    pub slow: f64,
+}
+
+/// The figures behind one engine kind's thresholds.
+#[derive(Clone)]
+pub struct Gateway {
+    pub unblocked: f64,
+    pub target: f64,
+    pub engines: f64,
+    pub small: f64,
+    pub medium: f64,
+}
+
+impl Learned {
+    pub fn keeping(samples: usize) -> Self {
+        let recent = || Recent::keeping(samples);
+        Self {
+            costs: recent(),
+            memories: recent(),
+            cost_ratios: recent(),
+            memory_ratios: recent(),
+            stretches: recent(),
+            longest_patience: Duration::ZERO,
+        }
+    }
+}
+
+impl Engine {
+    pub fn listed(row: &Listing, now: Duration, samples: usize, outcomes: usize) -> Self {
+        Self {
+            location: row.location,
+            kind: row.kind,
+            cell: row.cell,
+            ready: row.ready,
+            launched: row.launched,
+            cold_since: row.launched,
+            out: Vec::new(),
+            sent: Recent::keeping(samples * samples),
+            stretches: Recent::keeping(samples),
+            bad: Recent::keeping(outcomes),
+            heard: now,
+            refused: None,
+            report: None,
+            groups: VecDeque::new(),
+        }
+    }
+}
--- /dev/null
+++ b/tests/trace/mod.rs
@@ -0,0 +1,195 @@
+//! A router whose decisions are written down, and short ways to tell it what happens.
+
+use emberflow::*;
+use std::fmt::Write;
+use std::time::Duration;
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[derive(Default)]
+struct Lines(String, u64);
+
+impl Lines {
+    fn add(&mut self, line: std::fmt::Arguments) {
+        writeln!(self.0, "{:>6} {line}", self.1).unwrap();
+    }
+}
+
+impl Outlet for Lines {
+    fn send(&mut self, task: TaskId, engine: EngineId, until: Duration) {
+        self.add(format_args!("task {task} to engine {engine} until {}", until.as_millis()));
+    }
+    fn terms(&mut self, task: TaskId, grant_mb: f64, priority: u8) {
+        self.add(format_args!("task {task} gets {grant_mb} MB, priority {priority}"));
+    }
+    fn cancel(&mut self, task: TaskId, hop: usize) {
+        self.add(format_args!("cancel task {task} hop {hop}"));
+    }
+    fn bounce(&mut self, task: TaskId, come_back: Option<Duration>) {
+        let after = come_back.map_or(0, |after| after.as_millis());
+        self.add(format_args!("bounce task {task}, back after {after}"));
+    }
+    fn give_up(&mut self, task: TaskId) {
+        self.add(format_args!("give up task {task}"));
+    }
+    fn wake_after(&mut self, _: Duration) {}
+    fn probe(&mut self, engine: EngineId) {
+        self.add(format_args!("probe engine {engine}"));
+    }
+    fn watch(&mut self) {
+        self.add(format_args!("watch the list"));
+    }
+}
+
+/// Traffic types 0 to 2: short replayable, long replayable on three threads, single-use holding its group.
+pub fn traffic() -> Vec<TrafficType> {
+    let short = |effect, revenue, target, threads| TrafficType {
+        target: ms(target),
+        target_stretch: 2.0,
+        patience: ms(target * 8),
+        revenue,
+        late_share: 0.0,
+        effect,
+        keeps_order: false,
+        kinds: None,
+        locations: None,
+        threads,
+        holds_group: false,
+        waits_for_loads: false,
+    };
+    let mut load = short(Effect::SingleUse, 5.0, 3000, 2.0);
+    load.holds_group = true;
+    vec![short(Effect::Replayable, 1.0, 1000, 1.0), short(Effect::Replayable, 6.0, 2000, 3.0), load]
+}
+
+pub struct Trace {
+    router: Router,
+    lines: Lines,
+    tasks: TaskId,
+}
+
+impl Trace {
+    /// One router of one, on engines of one kind with 8 cores and 16,000 MB, unless `change` says otherwise.
+    pub fn new(engines: usize, change: impl FnOnce(&mut Fleet, &mut Vec<TrafficType>, &mut Duties)) -> Self {
+        let mut fleet = Fleet {
+            seed: 1,
+            routers: 1,
+            home: 0,
+            kinds: vec![Kind { cores: 8.0, memory_mb: 16000.0 }],
+            largest_share: 0.5,
+            heeds_priorities: false,
+            note_every: Some(ms(500)),
+            probes: false,
+            list_is_asked: false,
+            tick: ms(5),
+            customers: Vec::new(),
+        };
+        let mut duties = Duties {
+            most_hops: 3,
+            may_cancel: true,
+            start_capacity: 0.3,
+            warm_up: ms(10_000),
+            overload_factor: 2.0,
+            fall: ms(1000),
+            key_rest: None,
+            hop_budget: None,
+            longest_come_back: Some(ms(400)),
+        };
+        let mut traffic = traffic();
+        change(&mut fleet, &mut traffic, &mut duties);
+        let mut trace =
+            Self { router: Router::new(fleet, traffic, duties), lines: Lines::default(), tasks: 0 };
+        trace.list((0..engines).map(|engine| listing(engine, true, None)).collect());
+        trace
+    }
+
+    pub fn at(&mut self, ms: u64) -> &mut Self {
+        self.lines.1 = ms;
+        self
+    }
+
+    pub fn list(&mut self, rows: Vec<Listing>) -> &mut Self {
+        self.router.engines_changed(ms(self.lines.1), false, rows, &mut self.lines);
+        self
+    }
+
+    pub fn accept(&mut self, traffic: usize, cost: u64, memory_mb: f64) -> &mut Self {
+        self.accept_keyed(traffic, cost, memory_mb, None)
+    }
+
+    pub fn accept_keyed(&mut self, traffic: usize, cost: u64, memory: f64, key: Option<KeyId>) -> &mut Self {
+        let arrival = Arrival {
+            task: self.tasks,
+            traffic,
+            key,
+            cost: (cost > 0).then(|| ms(cost)),
+            memory_mb: (memory > 0.0).then_some(memory),
+            patience: ms([8000, 16000, 24000][traffic]),
+            group: None,
+            customer: 0,
+        };
+        self.tasks += 1;
+        self.router.accept(ms(self.lines.1), arrival, &mut self.lines);
+        self
+    }
+
+    pub fn ended(&mut self, task: TaskId, hop: usize, engine: EngineId, end: HopEnd) -> &mut Self {
+        self.reported(task, hop, engine, end, None)
+    }
+
+    pub fn reported(
+        &mut self,
+        task: TaskId,
+        hop: usize,
+        engine: EngineId,
+        end: HopEnd,
+        signals: Option<Signals>,
+    ) -> &mut Self {
+        let (now, over) = (ms(self.lines.1), end == HopEnd::Succeeded);
+        let ended = Ended { task, hop, engine, end, took: ms(1), bill: None, signals, over };
+        self.router.hop_ended(now, ended, &mut self.lines);
+        self
+    }
+
+    pub fn notice(&mut self, task: TaskId, hop: usize, notice: Notice) -> &mut Self {
+        self.router.notice(ms(self.lines.1), task, hop, notice, &mut self.lines);
+        self
+    }
+
+    pub fn left(&mut self, task: TaskId) -> &mut Self {
+        self.router.client_left(ms(self.lines.1), task, &mut self.lines);
+        self
+    }
+
+    pub fn list_failed(&mut self) -> &mut Self {
+        self.router.list_failed(ms(self.lines.1), &mut self.lines);
+        self
+    }
+
+    /// Wakes the router every 40 ms up to `until`.
+    pub fn wait(&mut self, until: u64) -> &mut Self {
+        while self.lines.1 + 40 <= until {
+            self.lines.1 += 40;
+            self.router.wake(ms(self.lines.1), &mut self.lines);
+        }
+        self
+    }
+
+    /// What was decided so far; each line starts with its time in milliseconds.
+    pub fn decided(&mut self) -> String {
+        std::mem::take(&mut self.lines.0)
+    }
+}
+
+pub fn listing(engine: EngineId, ready: bool, launched: Option<u64>) -> Listing {
+    Listing {
+        engine,
+        location: engine % 2,
+        kind: 0,
+        cell: engine as u64 / 2,
+        ready,
+        launched: launched.map(ms),
+    }
+}
