--- a/src/logic.rs
+++ b/src/logic.rs
@@ -215,9 +215,8 @@
                 engine.bad.push(now, 1.0);
                 engine.cold_since = None;
             }
-            // Guards against a silent engine that looks free once its hops are taken back.
-            HopEnd::TimedOut | HopEnd::Withdrawn if engine.heard <= sent => engine.bad.push(now, 1.0),
-            HopEnd::TimedOut | HopEnd::Withdrawn | HopEnd::Void => {}
+            HopEnd::TimedOut => engine.bad.push(now, 1.0),
+            HopEnd::Withdrawn | HopEnd::Void => {}
         }
         self.settle(now, out);
     }
@@ -632,9 +631,18 @@
 
     /// Guards against engines that take work and answer nothing: hops are taken back where a repeat is allowed.
     fn cancel_on_silent_engines(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
-        let silent = self.engines.iter().filter(|(id, _)| sight.engines[id].silence >= 1.5);
-        let hops: Vec<(TaskId, usize)> = silent.flat_map(|(_, engine)| engine.out.iter().copied()).collect();
-        self.cancel(now, hops, out)
+        let mut fired = false;
+        for (id, _) in sight.engines.iter().filter(|(_, seen)| seen.silence >= 1.5) {
+            let engine = &self.engines[id];
+            if self.cancel(now, engine.out.clone(), out) {
+                // It would look free once its hops are taken back.
+                let engine = self.engines.get_mut(id).expect("a seen engine");
+                engine.bad.push(now, 1.0);
+                engine.bad.push(now, 1.0);
+                fired = true;
+            }
+        }
+        fired
     }
 
     /// Guards against hops that take many times their expected run while the estimate gives no cause: only a
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -13,7 +13,7 @@
 
 impl Lines {
     fn add(&mut self, line: std::fmt::Arguments) {
-        writeln!(self.0, "{:>6} {line}", self.1).unwrap();
+        writeln!(self.0, "{:<5} {line}", self.1).unwrap();
     }
 }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -13,18 +13,18 @@
     trace.accept(0, 100, 50.0).accept(0, 100, 600.0).accept(1, 3000, 4000.0).accept(1, 3000, 12000.0);
     trace.accept(1, 3000, 12000.0).accept(1, 3000, 12000.0).at(20).ended(3, 0, 0, HopEnd::Succeeded);
     expect![[r#"
-             0 task 0 gets 63 MB, priority 1
-             0 task 0 to engine 0 until 7980
-             0 task 1 gets 750 MB, priority 1
-             0 task 1 to engine 1 until 7980
-             0 task 2 gets 5000 MB, priority 1
-             0 task 2 to engine 0 until 15980
-             0 task 3 gets 8000 MB, priority 1
-             0 task 3 to engine 1 until 15980
-             0 task 4 gets 8000 MB, priority 1
-             0 task 4 to engine 0 until 15980
-            20 task 5 gets 8000 MB, priority 1
-            20 task 5 to engine 1 until 15980
+        0     task 0 gets 63 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        0     task 1 gets 750 MB, priority 1
+        0     task 1 to engine 1 until 7980
+        0     task 2 gets 5000 MB, priority 1
+        0     task 2 to engine 0 until 15980
+        0     task 3 gets 8000 MB, priority 1
+        0     task 3 to engine 1 until 15980
+        0     task 4 gets 8000 MB, priority 1
+        0     task 4 to engine 0 until 15980
+        20    task 5 gets 8000 MB, priority 1
+        20    task 5 to engine 1 until 15980
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -34,12 +34,12 @@
     let mut trace = Trace::new(1, |_, _, _| ());
     trace.accept(1, 0, 0.0).accept(1, 0, 0.0).at(5).ended(0, 0, 0, HopEnd::Overloaded);
     expect![[r#"
-             0 task 0 gets 0 MB, priority 1
-             0 task 0 to engine 0 until 15980
-             0 task 1 gets 0 MB, priority 1
-             0 task 1 to engine 0 until 15980
-             5 task 0 gets 0 MB, priority 1
-             5 task 0 to engine 0 until 15980
+        0     task 0 gets 0 MB, priority 1
+        0     task 0 to engine 0 until 15980
+        0     task 1 gets 0 MB, priority 1
+        0     task 1 to engine 0 until 15980
+        5     task 0 gets 0 MB, priority 1
+        5     task 0 to engine 0 until 15980
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -54,13 +54,13 @@
     }
     trace.at(400).reported(1, 0, 0, HopEnd::Succeeded, Some(busy)).wait(2000);
     expect![[r#"
-             0 task 0 gets 63 MB, priority 1
-             0 task 0 to engine 0 until 7980
-           100 task 1 gets 3750 MB, priority 1
-           100 task 1 to engine 0 until 16080
-           400 task 2 gets 3750 MB, priority 1
-           400 task 2 to engine 0 until 16080
-          1920 cancel task 2 hop 0
+        0     task 0 gets 63 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        100   task 1 gets 3750 MB, priority 1
+        100   task 1 to engine 0 until 16080
+        400   task 2 gets 3750 MB, priority 1
+        400   task 2 to engine 0 until 16080
+        1920  cancel task 2 hop 0
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -71,8 +71,8 @@
     trace.accept(0, 0, 0.0).accept(2, 1, 1e12).at(7000).wait(8000).ended(0, 0, 0, HopEnd::TimedOut);
     trace.notice(7, 3, Notice::Done(0.0)).left(9);
     expect![[r#"
-          7040 bounce task 0, back after 400
-          7040 bounce task 1, back after 400
+        7040  bounce task 0, back after 400
+        7040  bounce task 1, back after 400
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -83,13 +83,13 @@
     trace.accept(2, 100, 300.0).accept(2, 100, 300.0);
     trace.at(50).ended(0, 0, 0, HopEnd::Unreachable).ended(1, 0, 1, HopEnd::Broken);
     expect![[r#"
-             0 task 0 gets 375 MB, priority 1
-             0 task 0 to engine 0 until 23980
-             0 task 1 gets 375 MB, priority 1
-             0 task 1 to engine 2 until 23980
-            50 task 0 gets 375 MB, priority 1
-            50 task 0 to engine 1 until 23980
-            50 give up task 1
+        0     task 0 gets 375 MB, priority 1
+        0     task 0 to engine 0 until 23980
+        0     task 1 gets 375 MB, priority 1
+        0     task 1 to engine 2 until 23980
+        50    task 0 gets 375 MB, priority 1
+        50    task 0 to engine 1 until 23980
+        50    give up task 1
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -102,11 +102,11 @@
     trace.accept(0, 100, 300.0).at(50).ended(0, 0, 0, HopEnd::Broken).at(690).ended(0, 1, 1, HopEnd::Broken);
     trace.wait(1400);
     expect![[r#"
-             0 task 0 gets 375 MB, priority 1
-             0 task 0 to engine 0 until 7980
-            50 task 0 gets 375 MB, priority 1
-            50 task 0 to engine 1 until 7980
-           690 give up task 0
+        0     task 0 gets 375 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        50    task 0 gets 375 MB, priority 1
+        50    task 0 to engine 1 until 7980
+        690   give up task 0
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -121,12 +121,12 @@
     trace.list(vec![Listing { kind: 1, ..listing(5, false, None) }, listing(0, false, None)]);
     trace.at(10).ended(0, 0, 5, HopEnd::Unreachable).accept(0, 300, 300.0).accept(1, 300, 300.0).wait(1500);
     expect![[r#"
-             0 task 0 gets 375 MB, priority 1
-             0 task 0 to engine 5 until 15980
-            10 task 1 gets 375 MB, priority 1
-            10 task 1 to engine 1 until 7990
-           570 bounce task 0, back after 400
-           570 bounce task 2, back after 400
+        0     task 0 gets 375 MB, priority 1
+        0     task 0 to engine 5 until 15980
+        10    task 1 gets 375 MB, priority 1
+        10    task 1 to engine 1 until 7990
+        570   bounce task 0, back after 400
+        570   bounce task 2, back after 400
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -140,16 +140,16 @@
     }
     trace.wait(5600);
     expect![[r#"
-          5000 task 0 gets 375 MB, priority 1
-          5000 task 0 to engine 0 until 12980
-          5000 task 1 gets 375 MB, priority 1
-          5000 task 1 to engine 0 until 12980
-          5000 task 2 gets 375 MB, priority 1
-          5000 task 2 to engine 0 until 12980
-          5000 task 3 gets 375 MB, priority 1
-          5000 task 3 to engine 0 until 12980
-          5480 task 4 gets 375 MB, priority 1
-          5480 task 4 to engine 0 until 12980
+        5000  task 0 gets 375 MB, priority 1
+        5000  task 0 to engine 0 until 12980
+        5000  task 1 gets 375 MB, priority 1
+        5000  task 1 to engine 0 until 12980
+        5000  task 2 gets 375 MB, priority 1
+        5000  task 2 to engine 0 until 12980
+        5000  task 3 gets 375 MB, priority 1
+        5000  task 3 to engine 0 until 12980
+        5480  task 4 gets 375 MB, priority 1
+        5480  task 4 to engine 0 until 12980
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -164,15 +164,15 @@
     trace.accept_keyed(2, 100, 300.0, Some(5)).accept(2, 100, 300.0);
     trace.at(100).ended(0, 0, 0, HopEnd::Broken).wait(500);
     expect![[r#"
-             0 task 0 gets 375 MB, priority 1
-             0 task 0 to engine 0 until 23980
-             0 task 2 gets 375 MB, priority 1
-             0 task 2 to engine 2 until 23980
-             0 task 3 gets 375 MB, priority 1
-             0 task 3 to engine 1 until 23980
-           100 give up task 0
-           420 task 1 gets 375 MB, priority 1
-           420 task 1 to engine 2 until 23980
+        0     task 0 gets 375 MB, priority 1
+        0     task 0 to engine 0 until 23980
+        0     task 2 gets 375 MB, priority 1
+        0     task 2 to engine 2 until 23980
+        0     task 3 gets 375 MB, priority 1
+        0     task 3 to engine 1 until 23980
+        100   give up task 0
+        420   task 1 gets 375 MB, priority 1
+        420   task 1 to engine 2 until 23980
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -184,9 +184,9 @@
     trace.accept(0, 100, 300.0).accept(0, 100, 300.0).decided();
     trace.at(50).ended(0, 0, 0, HopEnd::Overloaded).ended(1, 0, 1, HopEnd::Overloaded).wait(600);
     expect![[r#"
-            50 task 0 gets 375 MB, priority 1
-            50 task 0 to engine 1 until 7980
-           330 bounce task 1, back after 400
+        50    task 0 gets 375 MB, priority 1
+        50    task 0 to engine 1 until 7980
+        330   bounce task 1, back after 400
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -197,11 +197,11 @@
     trace.accept(1, 900, 300.0).at(500).notice(0, 0, Notice::Done(0.05)).at(510);
     trace.ended(0, 0, 0, HopEnd::Withdrawn).at(1010).notice(0, 1, Notice::Done(0.05));
     expect![[r#"
-             0 task 0 gets 375 MB, priority 1
-             0 task 0 to engine 0 until 15980
-           500 cancel task 0 hop 0
-           510 task 0 gets 375 MB, priority 1
-           510 task 0 to engine 1 until 15980
+        0     task 0 gets 375 MB, priority 1
+        0     task 0 to engine 0 until 15980
+        500   cancel task 0 hop 0
+        510   task 0 gets 375 MB, priority 1
+        510   task 0 to engine 1 until 15980
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -213,16 +213,16 @@
     trace.at(100).ended(2, 0, 0, HopEnd::Succeeded).wait(1700).ended(1, 0, 1, HopEnd::Succeeded);
     trace.ended(0, 0, 0, HopEnd::Withdrawn).accept(0, 100, 300.0);
     expect![[r#"
-             0 task 0 gets 375 MB, priority 1
-             0 task 0 to engine 0 until 7980
-             0 task 1 gets 375 MB, priority 1
-             0 task 1 to engine 1 until 23980
-             0 task 2 gets 375 MB, priority 1
-             0 task 2 to engine 0 until 7980
-          1620 cancel task 0 hop 0
-          1700 bounce task 0, back after 400
-          1700 task 3 gets 375 MB, priority 1
-          1700 task 3 to engine 0 until 9680
+        0     task 0 gets 375 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        0     task 1 gets 375 MB, priority 1
+        0     task 1 to engine 1 until 23980
+        0     task 2 gets 375 MB, priority 1
+        0     task 2 to engine 0 until 7980
+        1620  cancel task 0 hop 0
+        1700  bounce task 0, back after 400
+        1700  task 3 gets 375 MB, priority 1
+        1700  task 3 to engine 0 until 9680
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -234,12 +234,12 @@
     trace.at(5).ended(0, 0, 0, HopEnd::Failed).ended(2, 0, 0, HopEnd::Failed).decided();
     trace.at(10).accept(0, 100, 300.0).accept(0, 100, 300.0).at(1100).accept(0, 100, 300.0);
     expect![[r#"
-            10 task 4 gets 375 MB, priority 1
-            10 task 4 to engine 1 until 7990
-            10 task 5 gets 375 MB, priority 1
-            10 task 5 to engine 1 until 7990
-          1100 task 6 gets 375 MB, priority 1
-          1100 task 6 to engine 0 until 9080
+        10    task 4 gets 375 MB, priority 1
+        10    task 4 to engine 1 until 7990
+        10    task 5 gets 375 MB, priority 1
+        10    task 5 to engine 1 until 7990
+        1100  task 6 gets 375 MB, priority 1
+        1100  task 6 to engine 0 until 9080
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -252,11 +252,11 @@
     trace.notice(0, 0, Notice::WaitsForMemory).at(1200).reported(1, 0, 1, HopEnd::Succeeded, Some(full));
     trace.at(1210).ended(0, 0, 0, HopEnd::Withdrawn);
     expect![[r#"
-             0 task 0 gets 375 MB, priority 1
-             0 task 0 to engine 0 until 7980
-             0 task 1 gets 375 MB, priority 1
-             0 task 1 to engine 1 until 7980
-          1210 bounce task 0, back after 400
+        0     task 0 gets 375 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        0     task 1 gets 375 MB, priority 1
+        0     task 1 to engine 1 until 7980
+        1210  bounce task 0, back after 400
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -272,14 +272,14 @@
         trace.at(at * 10).accept(1, 300, 1000.0).reported(9, 0, 0, HopEnd::Succeeded, Some(free));
     }
     expect![[r#"
-            30 task 4 gets 1250 MB, priority 1
-            30 task 4 to engine 0 until 16010
-            40 task 5 gets 1250 MB, priority 1
-            40 task 5 to engine 1 until 16020
-            50 task 6 gets 1250 MB, priority 1
-            50 task 6 to engine 0 until 16030
-            60 task 7 gets 1250 MB, priority 1
-            60 task 7 to engine 1 until 16040
+        30    task 4 gets 1250 MB, priority 1
+        30    task 4 to engine 0 until 16010
+        40    task 5 gets 1250 MB, priority 1
+        40    task 5 to engine 1 until 16020
+        50    task 6 gets 1250 MB, priority 1
+        50    task 6 to engine 0 until 16030
+        60    task 7 gets 1250 MB, priority 1
+        60    task 7 to engine 1 until 16040
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -289,8 +289,8 @@
     let mut trace = Trace::new(1, |fleet, _, _| fleet.list_is_asked = true);
     trace.at(900).list_failed().wait(1000);
     expect![[r#"
-             0 watch the list
-           900 watch the list
+        0     watch the list
+        900   watch the list
     "#]]
     .assert_eq(&trace.decided());
 }
