--- a/src/logic.rs
+++ b/src/logic.rs
@@ -576,9 +576,10 @@
     // ---- rules ----
 
     fn settle<O: Outlet>(&mut self, now: Duration, out: &mut O) {
-        let rules: [Rule<O>; 9] = [
+        let rules: [Rule<O>; 10] = [
             Self::forget_what_is_over,
             Self::answer_in_time,
+            Self::probe_the_quiet,
             Self::cancel_on_silent_engines,
             Self::cancel_bad_plans,
             Self::drop_what_is_late,
@@ -629,6 +630,18 @@
         fired
     }
 
+    /// Tells a slow engine from a silent one, where probes may: an answer counts as a sign of life.
+    fn probe_the_quiet(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
+        let soon = now.saturating_sub(self.beat() / 2);
+        for (id, engine) in self.engines.iter_mut().filter(|_| self.fleet.probes) {
+            if sight.engines[id].silence >= 0.5 && engine.probed.is_none_or(|at| at <= soon) {
+                engine.probed = Some(now);
+                out.probe(*id);
+            }
+        }
+        false
+    }
+
     /// Guards against engines that take work and answer nothing: hops are taken back where a repeat is allowed.
     fn cancel_on_silent_engines(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
         let mut fired = false;
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,7 @@
     pub bad: Recent,
     pub heard: Duration,
     pub refused: Option<Duration>,
+    pub probed: Option<Duration>,
     pub report: Option<(Duration, Signals)>,
     pub groups: VecDeque<u64>,
 }
@@ -126,6 +127,7 @@
             bad: Recent::keeping(outcomes),
             heard: now,
             refused: None,
+            probed: None,
             report: None,
             groups: VecDeque::new(),
         }
