--- a/src/logic.rs
+++ b/src/logic.rs
@@ -213,7 +213,7 @@
             HopEnd::Unreachable | HopEnd::Broken => {
                 engine.bad.push(now, 1.0);
                 engine.bad.push(now, 1.0);
-                engine.cold_since = None;
+                engine.cold_since = Some(now);
             }
             HopEnd::TimedOut => engine.bad.push(now, 1.0),
             HopEnd::Withdrawn | HopEnd::Void => {}
@@ -346,6 +346,7 @@
                 pressed: self.pressed(engine, now, own.map(|own| own > PRESSED)),
                 silence,
                 sick: silence >= 1.0 || self.failing(engine, now),
+                ease: own.map_or(1.0, |own| (PRESSED / own).min(1.0)),
                 slow: own.map_or(1.0, |own| (own / stretch).clamp(0.5, 4.0)),
             }
         };
@@ -475,15 +476,17 @@
     }
 
     /// Whether the tier has a slot open at an engine: largest one at a time, the others bound under pressure.
-    fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, pressed: bool) -> bool {
+    /// Guards against surges and slow fleets, where the design's limits lie beyond what engines bear: they shrink as
+    /// latency rises past the pressure line. Harms by refusing tasks on an engine that is slow for its own reasons.
+    fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, seen: &Seen) -> bool {
         let of_tier = engine.out.iter().map(|(task, hop)| (&self.tasks[task], *hop));
         let of_tier = of_tier.filter(|(task, hop)| task.hops[*hop].tier == tier);
         let held: f64 = of_tier.map(|(task, _)| self.traffic[task.traffic].threads).sum();
-        let most = self.fleet.kinds[engine.kind].cores * self.share();
+        let most = self.fleet.kinds[engine.kind].cores * self.share() * seen.ease;
         match tier {
             Tier::Unblocked => true,
             Tier::Largest => held == 0.0,
-            _ if held == 0.0 || !pressed => true,
+            _ if held == 0.0 || seen.pressed != Some(true) => true,
             Tier::Small => held + threads <= most * SMALL_THREADS,
             Tier::Medium => held + threads <= most * MEDIUM_THREADS,
         }
@@ -759,7 +762,7 @@
                 if blocked.contains(&(engine.kind, tier)) {
                     continue;
                 }
-                if self.slot_open(engine, tier, threads, seen.pressed == Some(true)) {
+                if self.slot_open(engine, tier, threads, seen) {
                     free.push((self.room(to, engine, task, now, seen.slow), to, tier));
                 } else {
                     full.push((engine.kind, tier));
--- a/src/state.rs
+++ b/src/state.rs
@@ -85,6 +85,7 @@
     pub pressed: Option<bool>,
     pub silence: f64,
     pub sick: bool,
+    pub ease: f64,
     pub slow: f64,
 }
 
