--- a/src/logic.rs
+++ b/src/logic.rs
@@ -518,8 +518,10 @@
 
     fn earns_little_late(&self, task: &Task, now: Duration) -> bool {
         let usual = || mean((0..self.traffic.len()).map(|traffic| self.density(traffic))).unwrap_or(0.0);
-        let late = || self.traffic[task.traffic].late_share * self.density(task.traffic);
-        now > task.target && late() < usual() / 4.0
+        let traffic = &self.traffic[task.traffic];
+        let finish = task.hops.last().filter(|hop| hop.end.is_none()).and_then(|hop| hop.finish);
+        let left = || finish.map_or(task.ideal, |at| seconds(at.saturating_sub(now))) * traffic.threads;
+        now > task.target && traffic.late_share * traffic.revenue < usual() / 4.0 * left()
     }
 
     fn chance(&mut self) -> u64 {
