--- a/src/logic.rs
+++ b/src/logic.rs
@@ -519,8 +519,10 @@
     fn earns_little_late(&self, task: &Task, now: Duration) -> bool {
         let usual = || mean((0..self.traffic.len()).map(|traffic| self.density(traffic))).unwrap_or(0.0);
         let traffic = &self.traffic[task.traffic];
-        let finish = task.hops.last().filter(|hop| hop.end.is_none()).and_then(|hop| hop.finish);
-        let left = || finish.map_or(task.ideal, |at| seconds(at.saturating_sub(now))) * traffic.threads;
+        // What an earlier note promised and has not come does not count.
+        let finish = task.hops.last().and_then(|hop| hop.finish).filter(|at| *at > now);
+        let cost = || self.learned[task.traffic].costs.mean().unwrap_or(0.0);
+        let left = || finish.map_or_else(cost, |at| seconds(at - now) * traffic.threads);
         now > task.target && traffic.late_share * traffic.revenue < usual() / 4.0 * left()
     }
 
