--- a/src/logic.rs
+++ b/src/logic.rs
@@ -745,18 +745,13 @@
             {
                 continue;
             }
-            // What would be dropped as late there is not sent there.
-            let poor = self.earns_little_late(task, now);
-            let open = |id: &EngineId, e: &Engine| {
-                let in_vain = poor && sight.engines[id].pressed == Some(true);
-                !in_vain && self.allowed(task, e) && self.fits_cold(e, task, now)
-            };
+            let open = |e: &Engine| self.allowed(task, e) && self.fits_cold(e, task, now);
             let tried = |id: EngineId| task.hops.iter().any(|hop| hop.engine == id);
             let healthy = |e: EngineId| !sight.engines[&e].sick;
             let trickled =
                 |e: &Engine| e.out.is_empty() && e.sent.last().is_none_or(|(at, _)| at + self.beat() <= now);
             let mut ready: Vec<(EngineId, &Engine)> =
-                self.engines.iter().filter(|(id, e)| open(id, e)).map(|(id, e)| (*id, e)).collect();
+                self.engines.iter().filter(|(_, e)| open(e)).map(|(id, e)| (*id, e)).collect();
             // When all look bad, serving goes on; else a sick engine gets a trickle.
             if ready.iter().any(|(id, _)| healthy(*id)) {
                 ready.retain(|(id, e)| healthy(*id) || trickled(e));
