--- a/src/logic.rs
+++ b/src/logic.rs
@@ -497,16 +497,18 @@
     fn room(&self, id: EngineId, engine: &Engine, task: &Task, now: Duration, slow: f64) -> f64 {
         let Kind { cores, memory_mb } = self.fleet.kinds[engine.kind];
         let (memory, threads) = (self.grant(task, engine.kind), self.traffic[task.traffic].threads);
-        let beat = self.beat();
-        let load = match engine.report.as_ref().filter(|(at, _)| *at + beat * 2 >= now) {
+        let (own, own_threads) = self.own(id, Duration::ZERO);
+        let guess = ((own + memory) / memory_mb + (own_threads + threads) / cores) / self.share();
+        let load = match &engine.report {
             Some((at, Signals { busy: Some(busy), memory: Some(granted), .. })) => {
-                let (unseen, unseen_threads) = self.own(id, at.saturating_sub(beat));
-                granted + (unseen + memory) / memory_mb + busy + (unseen_threads + threads) / cores
-            }
-            _ => {
-                let (own, own_threads) = self.own(id, Duration::ZERO);
-                ((own + memory) / memory_mb + (own_threads + threads) / cores) / self.share()
+                let (unseen, unseen_threads) = self.own(id, at.saturating_sub(self.beat()));
+                let told =
+                    granted + (unseen + memory) / memory_mb + busy + (unseen_threads + threads) / cores;
+                // Guards against engines that answer nothing more and so look as free as this router's part.
+                let age = seconds(now - *at) / seconds(self.beat() * 4);
+                (told + guess * age) / (1.0 + age)
             }
+            _ => guess,
         };
         1.0 - load / 2.0 * slow
     }
