--- a/src/logic.rs
+++ b/src/logic.rs
@@ -47,6 +47,11 @@
         self.hops.last().is_some_and(|hop| hop.end.is_none())
     }
 
+    /// What decides the tier; a task with no told cost has none.
+    fn tier_memory(&self) -> Option<f64> {
+        self.told_cost.map(|_| self.memory)
+    }
+
     fn held(&self) -> bool {
         !self.over && !self.out()
     }
@@ -145,7 +150,6 @@
             target: now,
             patience: now + arrival.patience,
             over: false,
-            priority: 1,
             hops: Vec::new(),
         };
         let stretch = span(traffic.target_stretch * task.ideal);
@@ -187,35 +191,28 @@
         } else if told_cost.is_none() && end == HopEnd::Succeeded {
             self.learned[traffic].costs.push(now, seconds(took) * self.traffic[traffic].threads);
         }
-        let tick = seconds(self.fleet.tick);
-        let Some(engine) = self.engines.get_mut(&engine) else { return self.settle(now, out) };
+        let engine = self.engines.get_mut(&engine).expect("an engine that a hop went to");
         engine.out.retain(|o| *o != (id, hop));
+        if matches!(end, HopEnd::Succeeded | HopEnd::Failed | HopEnd::Overloaded) {
+            engine.heard = now;
+        }
         match end {
             HopEnd::Succeeded => {
-                engine.heard = now;
-                engine.bad.push(now, 0.0);
-                let stretch = seconds(now - sent) / (ideal + tick);
+                let stretch = seconds(now - sent) / (ideal + seconds(self.fleet.tick));
                 let stretches = &mut self.learned[traffic].stretches;
                 stretches.push(now, stretch);
-                engine
-                    .stretches
-                    .push(now, stretch / quantile(stretches.values(), 0.1).unwrap_or(1.0).max(1.0));
-            }
-            HopEnd::Failed => {
-                engine.heard = now;
-                engine.bad.push(now, 1.0);
-            }
-            HopEnd::Overloaded => {
-                engine.heard = now;
-                engine.refused = Some(now);
+                let best = quantile(stretches.values(), 0.1).unwrap_or(1.0).max(1.0);
+                engine.stretches.push(now, stretch / best);
+                engine.bad.push(now, 0.0);
             }
-            // Guards against lost machines and halls: two marks, so that the first failed connect counts.
+            HopEnd::Overloaded => engine.refused = Some(now),
+            HopEnd::Failed | HopEnd::TimedOut => engine.bad.push(now, 1.0),
+            // Guards against lost machines and halls: two marks, so that the first failed connect counts, and cold
+            // from then on, since the list tells of a restart late.
             HopEnd::Unreachable | HopEnd::Broken => {
-                engine.bad.push(now, 1.0);
-                engine.bad.push(now, 1.0);
+                (0..2).for_each(|_| engine.bad.push(now, 1.0));
                 engine.cold_since = Some(now);
             }
-            HopEnd::TimedOut => engine.bad.push(now, 1.0),
             HopEnd::Withdrawn | HopEnd::Void => {}
         }
         self.settle(now, out);
@@ -465,16 +462,11 @@
         let capacity = self.fleet.kinds[engine.kind].cores * CAPACITY * (start + (1.0 - start) * warmth);
         let window = seconds(self.duties.fall);
         let budget = self.duties.overload_factor * capacity * window / self.fleet.routers.max(1) as f64;
-        let usual = self.learned[task.traffic].costs.mean().unwrap_or(0.0).max(seconds(self.fleet.tick));
+        let usual = self.usual_cost(task.traffic).max(seconds(self.fleet.tick));
         let sent: f64 = engine.sent.since(now.saturating_sub(self.duties.fall)).sum();
         sent + usual <= budget
     }
 
-    /// The memory that decides a task's tier; a task with no told cost has none.
-    fn tier_memory(&self, task: &Task) -> Option<f64> {
-        task.told_cost.map(|_| task.memory)
-    }
-
     /// Whether the tier has a slot open at an engine: largest one at a time, the others bound under pressure.
     /// Guards against surges and slow fleets, where the design's limits lie beyond what engines bear: they shrink as
     /// latency rises past the pressure line. Harms by refusing tasks on an engine that is slow for its own reasons.
@@ -523,16 +515,37 @@
         let traffic = &self.traffic[task.traffic];
         // What an earlier note promised and has not come does not count.
         let finish = task.hops.last().and_then(|hop| hop.finish).filter(|at| *at > now);
-        let cost = || self.learned[task.traffic].costs.mean().unwrap_or(0.0);
-        let left = || finish.map_or_else(cost, |at| seconds(at - now) * traffic.threads);
+        let usual_left = || self.usual_cost(task.traffic);
+        let left = || finish.map_or_else(usual_left, |at| seconds(at - now) * traffic.threads);
         now > task.target && traffic.late_share * traffic.revenue < usual() / 4.0 * left()
     }
 
-    fn chance(&mut self) -> u64 {
+    fn usual_cost(&self, traffic: usize) -> f64 {
+        self.learned[traffic].costs.mean().unwrap_or(0.0)
+    }
+
+    /// Where priorities are heeded: what others may stand still behind first, then by revenue for the work.
+    fn priority(&self, traffic: usize) -> u8 {
+        let most = (0..self.traffic.len()).map(|traffic| self.density(traffic)).fold(0.0, f64::max);
+        match &self.traffic[traffic] {
+            _ if !self.fleet.heeds_priorities => 1,
+            TrafficType { holds_group: true, .. } => 3,
+            _ if self.density(traffic) >= most / 2.0 => 2,
+            _ => 1,
+        }
+    }
+
+    /// Whether a hop may be taken back to send the task again: allowed, in time and within the budget.
+    fn may_move(&self, task: &Task, now: Duration) -> bool {
+        let time = seconds(task.patience.saturating_sub(now)) > 2.0 * task.ideal;
+        !task.over && time && self.may_run_again(task, now) && self.hops_left(now) >= 1.0
+    }
+
+    fn chance(&self, engine: EngineId) -> u64 {
         let mut hasher = DefaultHasher::new();
-        hasher.write_u64(self.fleet.seed);
-        hasher.write_u64(self.draws);
-        self.draws += 1;
+        for part in [self.fleet.seed, self.draws, engine as u64] {
+            hasher.write_u64(part);
+        }
         hasher.finish()
     }
 
@@ -542,7 +555,7 @@
 
     // ---- effects ----
 
-    fn refuse(&mut self, now: Duration, id: TaskId, out: &mut impl Outlet) {
+    fn refuse(&mut self, id: TaskId, out: &mut impl Outlet) {
         let come_back = self.duties.longest_come_back.map(|longest| self.beat().min(longest));
         if self.may_bounce(&self.tasks[&id]) {
             out.bounce(id, come_back);
@@ -550,28 +563,41 @@
             out.give_up(id);
         }
         self.tasks.entry(id).and_modify(|task| task.over = true);
-        debug_assert!(now < self.tasks[&id].patience + self.margin());
+    }
+
+    fn take_back(&mut self, mut hops: Vec<(TaskId, usize)>, out: &mut impl Outlet) -> bool {
+        hops.retain(|(id, hop)| self.duties.may_cancel && !self.tasks[id].hops[*hop].cancelled);
+        for (id, hop) in &hops {
+            self.tasks.get_mut(id).expect("a task out").hops[*hop].cancelled = true;
+            out.cancel(*id, *hop);
+        }
+        !hops.is_empty()
     }
 
     fn send(&mut self, now: Duration, id: TaskId, to: EngineId, tier: Tier, out: &mut impl Outlet) {
         let task = &self.tasks[&id];
         let engine = &self.engines[&to];
         let (grant, ideal) = (self.grant(task, engine.kind), task.ideal);
-        let usual = self.learned[task.traffic].costs.mean().unwrap_or(0.0);
-        let until = task.patience.saturating_sub(self.margin());
-        out.terms(id, grant.round(), task.priority);
-        out.send(id, to, until);
+        let usual = self.usual_cost(task.traffic);
+        out.terms(id, grant.round(), self.priority(task.traffic));
+        out.send(id, to, task.patience.saturating_sub(self.margin()));
         if !task.hops.is_empty() {
             self.further.push_back(now);
         }
         let group = task.group;
-        let hop =
-            Hop { engine: to, sent: now, tier, grant, ideal, end: None, cancelled: false, finish: None };
         let hops = &mut self.tasks.get_mut(&id).expect("a held task").hops;
-        hops.push(hop);
-        let hop = hops.len() - 1;
         let engine = self.engines.get_mut(&to).expect("a listed engine");
-        engine.out.push((id, hop));
+        engine.out.push((id, hops.len()));
+        hops.push(Hop {
+            engine: to,
+            sent: now,
+            tier,
+            grant,
+            ideal,
+            end: None,
+            cancelled: false,
+            finish: None,
+        });
         engine.sent.push(now, usual);
         if let Some(group) = group {
             engine.groups.retain(|g| *g != group);
@@ -585,7 +611,7 @@
     // ---- rules ----
 
     fn settle<O: Outlet>(&mut self, now: Duration, out: &mut O) {
-        let rules: [Rule<O>; 10] = [
+        let rules: [Rule<O>; 9] = [
             Self::forget_what_is_over,
             Self::answer_in_time,
             Self::probe_the_quiet,
@@ -594,7 +620,6 @@
             Self::drop_what_is_late,
             Self::release,
             Self::refuse_what_waits_in_vain,
-            Self::set_priorities,
             Self::stay_awake,
         ];
         let mut sight = self.sight(now);
@@ -615,11 +640,10 @@
             self.lines.retain(|_, line| !line.tasks.is_empty() || resting(line));
         }
         let window = self.duties.hop_budget.as_ref().map_or(Duration::ZERO, |budget| budget.over);
-        while self.accepted.front().is_some_and(|at| *at + window < now) {
-            self.accepted.pop_front();
-        }
-        while self.further.front().is_some_and(|at| *at + window < now) {
-            self.further.pop_front();
+        for times in [&mut self.accepted, &mut self.further] {
+            while times.front().is_some_and(|at| *at + window < now) {
+                times.pop_front();
+            }
         }
         !gone.is_empty()
     }
@@ -632,7 +656,7 @@
             let late = now + self.margin() * 3 >= task.patience;
             let again = || self.may_run_again(task, now) && !self.earns_little_late(task, now);
             if late || !task.hops.is_empty() && !again() {
-                self.refuse(now, id, out);
+                self.refuse(id, out);
                 fired = true;
             }
         }
@@ -655,8 +679,10 @@
     fn cancel_on_silent_engines(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
         let mut fired = false;
         for (id, _) in sight.engines.iter().filter(|(_, seen)| seen.silence >= 1.5) {
-            let engine = &self.engines[id];
-            if self.cancel(now, engine.out.clone(), out) {
+            let hops = self.engines[id].out.iter().copied();
+            let hops = hops.filter(|(task, _)| self.may_move(&self.tasks[task], now));
+            let hops = hops.take(self.hops_left(now) as usize).collect();
+            if self.take_back(hops, out) {
                 // It would look free once its hops are taken back.
                 let engine = self.engines.get_mut(id).expect("a seen engine");
                 engine.bad.push(now, 1.0);
@@ -670,58 +696,30 @@
     /// Guards against hops that take many times their expected run while the estimate gives no cause: only a
     /// task's first hop, since a second one as slow shows a costly task.
     fn cancel_bad_plans(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
-        let bad = |hop: &Hop, stretch: f64| match (hop.finish, self.fleet.note_every) {
-            (Some(finish), _) => {
-                seconds(finish.saturating_sub(now))
-                    > BAD_PLAN * stretch * hop.ideal + seconds(self.fleet.tick)
-            }
-            (None, None) => {
-                seconds(now - hop.sent) > BAD_PLAN_UNSEEN * stretch * hop.ideal + seconds(self.beat())
-            }
-            _ => false,
+        let slack = seconds(self.beat());
+        let bad = |task: &Task| {
+            let (hop, run) = (&task.hops[0], sight.runs[task.traffic] * task.hops[0].ideal);
+            let left = hop.finish.map(|finish| seconds(finish.saturating_sub(now)));
+            let unseen = self.fleet.note_every.is_none();
+            left.is_some_and(|left| left > BAD_PLAN * run + seconds(self.fleet.tick))
+                || unseen && seconds(now - hop.sent) > BAD_PLAN_UNSEEN * run + slack
         };
-        let first = self
-            .tasks
-            .iter()
-            .filter(|(_, t)| t.hops.len() == 1 && t.out() && bad(&t.hops[0], sight.runs[t.traffic]));
-        let hops: Vec<(TaskId, usize)> = first.map(|(id, _)| (*id, 0)).collect();
-        self.cancel(now, hops, out)
+        let first = self.tasks.iter().filter(|(_, task)| task.hops.len() == 1 && task.out());
+        let hops = first.filter(|(_, task)| bad(task) && self.may_move(task, now)).map(|(id, _)| (*id, 0));
+        self.take_back(hops.take(self.hops_left(now) as usize).collect(), out)
     }
 
     /// Under pressure, hops past their target whose type earns little when late make room for those in time.
     fn drop_what_is_late(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
+        let pressed = |hop: &Hop| sight.engines[&hop.engine].pressed == Some(true);
         let late = |task: &Task| {
-            let pressed = |hop: &Hop| sight.engines[&hop.engine].pressed == Some(true) && !hop.cancelled;
             !task.over
                 && task.out()
                 && task.hops.last().is_some_and(pressed)
                 && self.earns_little_late(task, now)
         };
-        let hops: Vec<TaskId> = self.tasks.iter().filter(|(_, t)| late(t)).map(|(id, _)| *id).collect();
-        let fired = self.duties.may_cancel && !hops.is_empty();
-        for id in hops.into_iter().filter(|_| self.duties.may_cancel) {
-            let hop = self.tasks.get_mut(&id).and_then(|task| task.hops.last_mut()).expect("a hop out");
-            hop.cancelled = true;
-            out.cancel(id, self.tasks[&id].hops.len() - 1);
-        }
-        fired
-    }
-
-    fn cancel(&mut self, now: Duration, hops: Vec<(TaskId, usize)>, out: &mut impl Outlet) -> bool {
-        let mut fired = false;
-        let mut left = self.hops_left(now);
-        for (id, at) in hops {
-            let task = &self.tasks[&id];
-            let time = seconds(task.patience.saturating_sub(now)) > 2.0 * task.ideal;
-            let again = !task.over && time && self.may_run_again(task, now) && left >= 1.0;
-            if self.duties.may_cancel && again && !task.hops[at].cancelled {
-                self.tasks.get_mut(&id).expect("a task out").hops[at].cancelled = true;
-                out.cancel(id, at);
-                left -= 1.0;
-                fired = true;
-            }
-        }
-        fired
+        let hops = self.tasks.iter().filter(|(_, task)| late(task));
+        self.take_back(hops.map(|(id, task)| (*id, task.hops.len() - 1)).collect(), out)
     }
 
     /// The ordinary path: held tasks leave earliest first per tier, to the engine with most free room.
@@ -739,12 +737,9 @@
             if !again || !self.has_turn(id, task, now) {
                 continue;
             }
-            let (threads, memory) = (self.traffic[task.traffic].threads, self.tier_memory(task));
-            if gateways
-                .iter()
-                .enumerate()
-                .all(|(kind, gateway)| blocked.contains(&(kind, gateway.tier(memory))))
-            {
+            let (threads, memory) = (self.traffic[task.traffic].threads, task.tier_memory());
+            let mut tiers = gateways.iter().map(|gateway| gateway.tier(memory)).enumerate();
+            if tiers.all(|slot| blocked.contains(&slot)) {
                 continue;
             }
             let open = |e: &Engine| self.allowed(task, e) && self.fits_cold(e, task, now);
@@ -774,8 +769,11 @@
                     full.push((engine.kind, tier));
                 }
             }
-            full.retain(|slot| !free.iter().any(|(_, to, tier)| (self.engines[to].kind, *tier) == *slot));
-            blocked.extend(full);
+            // Whoever had the choice of all engines keeps later ones of the tier behind it.
+            if task.hops.is_empty() && self.traffic[task.traffic].locations.is_none() {
+                full.retain(|slot| !free.iter().any(|(_, to, tier)| (self.engines[to].kind, *tier) == *slot));
+                blocked.extend(full);
+            }
             let most = free.iter().map(|f| f.0).fold(f64::NEG_INFINITY, f64::max);
             free.retain(|f| f.0 >= most - 1.0 / 32.0);
             // Near ties only: away from a load that holds the group, to where it was read, to the home location.
@@ -787,14 +785,10 @@
                 let warm = task.group.is_some_and(|group| engine.groups.contains(&group));
                 (!held, warm, engine.location == self.fleet.home)
             };
-            let liked = free.iter().map(|f| liking(f.1)).max();
-            let mut free: Vec<_> = free.iter().filter(|f| Some(liking(f.1)) == liked).copied().collect();
-            free.sort_by_key(|f| f.1);
-            if free.is_empty() {
-                continue;
-            }
-            let (_, to, tier) = free[self.chance() as usize % free.len()];
+            let liked = free.iter().max_by_key(|(_, to, _)| (liking(*to), self.chance(*to)));
+            let Some((_, to, tier)) = liked.copied() else { continue };
             self.send(now, id, to, tier, out);
+            self.draws += 1;
             let gateway = &mut gateways[self.engines[&to].kind];
             gateway.small += f64::from(tier == Tier::Small);
             gateway.medium += f64::from(tier == Tier::Medium);
@@ -809,45 +803,19 @@
         for id in self.held() {
             let task = &self.tasks[&id];
             let run = span(task.ideal * sight.runs[task.traffic]);
-            let memory = self.tier_memory(task);
+            let memory = task.tier_memory();
             let tier =
                 sight.gateways.iter().map(|gateway| gateway.tier(memory)).min().unwrap_or(Tier::Largest);
             let out_of_time =
                 task.arrived + task.target.saturating_sub(task.arrived).mul_f64(HOLD[tier as usize]);
             if now + run > task.target || now > out_of_time {
-                self.refuse(now, id, out);
+                self.refuse(id, out);
                 fired = true;
             }
         }
         fired
     }
 
-    /// By revenue for the work, and not for what can no longer earn all of it.
-    fn set_priorities(&mut self, _: Duration, _: &Sight, out: &mut impl Outlet) -> bool {
-        if !self.fleet.heeds_priorities {
-            return false;
-        }
-        let densities: Vec<f64> = (0..self.traffic.len()).map(|traffic| self.density(traffic)).collect();
-        let most = densities.iter().copied().fold(0.0, f64::max);
-        let wanted = |task: &Task| match () {
-            _ if self.traffic[task.traffic].holds_group => 3,
-            _ if densities[task.traffic] >= most / 2.0 => 2,
-            _ => 1,
-        };
-        let changed = |(id, task): (&TaskId, &Task)| {
-            let priority = wanted(task);
-            (!task.over && priority != task.priority).then_some((*id, priority))
-        };
-        for (id, priority) in self.tasks.iter().filter_map(changed).collect::<Vec<_>>() {
-            let task = self.tasks.get_mut(&id).expect("a task");
-            task.priority = priority;
-            if let Some(hop) = task.hops.last().filter(|hop| hop.end.is_none()) {
-                out.terms(id, hop.grant.round(), priority);
-            }
-        }
-        false
-    }
-
     fn stay_awake(&mut self, now: Duration, _: &Sight, out: &mut impl Outlet) -> bool {
         if self.fleet.list_is_asked && !self.watched {
             self.watched = true;
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,7 +25,6 @@
     pub target: Duration,
     pub patience: Duration,
     pub over: bool,
-    pub priority: u8,
     pub hops: Vec<Hop>,
 }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -84,9 +84,9 @@
     trace.at(50).ended(0, 0, 0, HopEnd::Unreachable).ended(1, 0, 1, HopEnd::Broken);
     expect![[r#"
         0     task 0 gets 375 MB, priority 1
-        0     task 0 to engine 0 until 23980
+        0     task 0 to engine 2 until 23980
         0     task 1 gets 375 MB, priority 1
-        0     task 1 to engine 2 until 23980
+        0     task 1 to engine 0 until 23980
         50    task 0 gets 375 MB, priority 1
         50    task 0 to engine 1 until 23980
         50    give up task 1
@@ -103,9 +103,9 @@
     trace.wait(1400);
     expect![[r#"
         0     task 0 gets 375 MB, priority 1
-        0     task 0 to engine 0 until 7980
+        0     task 0 to engine 2 until 7980
         50    task 0 gets 375 MB, priority 1
-        50    task 0 to engine 1 until 7980
+        50    task 0 to engine 3 until 7980
         690   give up task 0
     "#]]
     .assert_eq(&trace.decided());
@@ -165,14 +165,14 @@
     trace.at(100).ended(0, 0, 0, HopEnd::Broken).wait(500);
     expect![[r#"
         0     task 0 gets 375 MB, priority 1
-        0     task 0 to engine 0 until 23980
+        0     task 0 to engine 2 until 23980
         0     task 2 gets 375 MB, priority 1
-        0     task 2 to engine 2 until 23980
+        0     task 2 to engine 0 until 23980
         0     task 3 gets 375 MB, priority 1
         0     task 3 to engine 1 until 23980
         100   give up task 0
         420   task 1 gets 375 MB, priority 1
-        420   task 1 to engine 2 until 23980
+        420   task 1 to engine 0 until 23980
     "#]]
     .assert_eq(&trace.decided());
 }
@@ -185,7 +185,7 @@
     trace.at(50).ended(0, 0, 0, HopEnd::Overloaded).ended(1, 0, 1, HopEnd::Overloaded).wait(600);
     expect![[r#"
         50    task 0 gets 375 MB, priority 1
-        50    task 0 to engine 1 until 7980
+        50    task 0 to engine 3 until 7980
         330   bounce task 1, back after 400
     "#]]
     .assert_eq(&trace.decided());
