--- a/src/logic.rs
+++ b/src/logic.rs
@@ -484,25 +484,23 @@
         }
     }
 
-    /// Free part of an engine once it has the task: memory and cores, as last reported with this router's own hops
-    /// that a report may not show yet on top, or by its own hops over its share.
-    fn room(&self, id: EngineId, engine: &Engine, task: &Task, now: Duration, slow: f64) -> f64 {
+    /// Parts of memory and cores that an engine has in use once it has the task: as last reported, with this router's
+    /// own hops that a report may not show yet on top, or by its own hops over its share.
+    fn load(&self, id: EngineId, engine: &Engine, task: &Task, now: Duration) -> (f64, f64) {
         let Kind { cores, memory_mb } = self.fleet.kinds[engine.kind];
-        let (memory, threads) = (self.grant(task, engine.kind), self.traffic[task.traffic].threads);
-        let (own, own_threads) = self.own(id, Duration::ZERO);
-        let guess = ((own + memory) / memory_mb + (own_threads + threads) / cores) / self.share();
-        let load = match &engine.report {
-            Some((at, Signals { busy: Some(busy), memory: Some(granted), .. })) => {
-                let (unseen, unseen_threads) = self.own(id, at.saturating_sub(self.beat()));
-                let told =
-                    granted + (unseen + memory) / memory_mb + busy + (unseen_threads + threads) / cores;
-                // Guards against engines that answer nothing more and so look as free as this router's part.
-                let age = seconds(now - *at) / seconds(self.beat() * 4);
-                (told + guess * age) / (1.0 + age)
-            }
-            _ => guess,
+        let (grant, threads) = (self.grant(task, engine.kind), self.traffic[task.traffic].threads);
+        let parts = |(own, own_threads)| ((own + grant) / memory_mb, (own_threads + threads) / cores);
+        let (memory, busy) = parts(self.own(id, Duration::ZERO));
+        let guess = (memory / self.share(), busy / self.share());
+        let Some((at, signals)) = &engine.report else { return guess };
+        let (unseen, unseen_busy) = parts(self.own(id, at.saturating_sub(self.beat())));
+        // Guards against engines that answer nothing more and so look as free as this router's part.
+        let age = seconds(now - *at) / seconds(self.beat() * 4);
+        let fade = |told: Option<f64>, unseen: f64, guess: f64| match told {
+            Some(told) => (told + unseen + guess * age) / (1.0 + age),
+            None => guess,
         };
-        1.0 - load / 2.0 * slow
+        (fade(signals.memory, unseen, guess.0), fade(signals.busy, unseen_busy, guess.1))
     }
 
     /// Revenue for a second of the usual work.
@@ -763,8 +761,10 @@
                 if blocked.contains(&(engine.kind, tier)) {
                     continue;
                 }
-                if self.slot_open(engine, tier, threads, seen) {
-                    free.push((self.room(to, engine, task, now, seen.slow), to, tier));
+                let (memory_in_use, busy) = self.load(to, engine, task, now);
+                let fits = memory_in_use <= 1.0 || tier == Tier::Unblocked || engine.out.is_empty();
+                if fits && self.slot_open(engine, tier, threads, seen) {
+                    free.push((1.0 - (memory_in_use + busy) / 2.0 * seen.slow, to, tier));
                 } else {
                     full.push((engine.kind, tier));
                 }
