--- a/src/logic.rs
+++ b/src/logic.rs
@@ -762,7 +762,7 @@
                     continue;
                 }
                 let (memory_in_use, busy) = self.load(to, engine, task, now);
-                let fits = memory_in_use <= 1.0 || tier == Tier::Unblocked || engine.out.is_empty();
+                let fits = memory_in_use <= 1.0 || tier <= Tier::Small || engine.out.is_empty();
                 if fits && self.slot_open(engine, tier, threads, seen) {
                     free.push((1.0 - (memory_in_use + busy) / 2.0 * seen.slow, to, tier));
                 } else {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -65,6 +65,24 @@
     .assert_eq(&trace.decided());
 }
 
+#[test]
+fn medium_tasks_wait_until_their_memory_is_there_and_small_ones_do_not() {
+    let mut trace = Trace::new(1, |_, _, _| ());
+    let full = Signals { busy: Some(0.3), memory: Some(0.9), ..Signals::default() };
+    let free = Signals { memory: Some(0.2), ..full };
+    trace.accept(0, 100, 300.0).accept(0, 100, 300.0).accept(0, 100, 300.0);
+    trace.at(1200).reported(0, 0, 0, HopEnd::Succeeded, Some(full)).decided();
+    trace.accept(1, 900, 4000.0).accept(0, 100, 300.0).wait(1500);
+    trace.reported(1, 0, 0, HopEnd::Succeeded, Some(free));
+    expect![[r#"
+        1200  task 4 gets 375 MB, priority 1
+        1200  task 4 to engine 0 until 9180
+        1480  task 3 gets 5000 MB, priority 1
+        1480  task 3 to engine 0 until 17180
+    "#]]
+    .assert_eq(&trace.decided());
+}
+
 #[test]
 fn an_answer_comes_before_patience_ends_with_no_engine_or_estimate() {
     let mut trace = Trace::new(0, |_, _, _| ());
