--- a/src/logic.rs
+++ b/src/logic.rs
@@ -453,7 +453,7 @@
         line.tasks.front() == Some(&id) && line.rest.is_none_or(|(by, until)| by == id || until <= now)
     }
 
-    /// Guards cold engines: this router's equal part of what a starting engine takes in any window, by the usual
+    /// Guards cold engines: this router's part of what a starting engine takes in any window, by the usual
     /// work of the traffic type. Harms by keeping costly types away from a warming engine.
     fn fits_cold(&self, engine: &Engine, task: &Task, now: Duration) -> bool {
         let age = engine.cold_since.map(|at| seconds(now.saturating_sub(at)) / seconds(self.duties.warm_up));
@@ -461,7 +461,7 @@
         let start = self.duties.start_capacity;
         let capacity = self.fleet.kinds[engine.kind].cores * CAPACITY * (start + (1.0 - start) * warmth);
         let window = seconds(self.duties.fall);
-        let budget = self.duties.overload_factor * capacity * window / self.fleet.routers.max(1) as f64;
+        let budget = self.duties.overload_factor * capacity * window * self.share();
         let usual = self.usual_cost(task.traffic).max(seconds(self.fleet.tick));
         let sent: f64 = engine.sent.since(now.saturating_sub(self.duties.fall)).sum();
         sent + usual <= budget
