--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,19 +43,11 @@
 }
 
 impl Task {
-    fn out(&self) -> bool {
-        self.hops.last().is_some_and(|hop| hop.end.is_none())
-    }
-
     /// What decides the tier; a task with no told cost has none.
     fn tier_memory(&self) -> Option<f64> {
         self.told_cost.map(|_| self.memory)
     }
 
-    fn held(&self) -> bool {
-        !self.over && !self.out()
-    }
-
     /// The hop from which a referenced task's window counts and whose engine sets its group.
     fn first_that_may_have_run(&self) -> Option<&Hop> {
         self.hops.iter().find(|hop| hop.may_have_run())
@@ -178,18 +170,15 @@
         if let (Some(key), Some(rest), true) = (task.key, self.duties.key_rest, may_still_run) {
             self.lines.entry(key).or_default().rest = Some((id, now + rest));
         }
+        let learned = &mut self.learned[traffic];
         if let Some(bill) = bill {
-            let learned = &mut self.learned[traffic];
             learned.memories.push(now, bill.memory_mb);
-            if let Some(told) = told_memory {
-                learned.memory_ratios.push(now, bill.memory_mb / told);
-            }
-            match told_cost {
-                Some(told) => learned.cost_ratios.push(now, seconds(bill.cost) / told),
-                None => learned.costs.push(now, seconds(bill.cost)),
-            }
-        } else if told_cost.is_none() && end == HopEnd::Succeeded {
-            self.learned[traffic].costs.push(now, seconds(took) * self.traffic[traffic].threads);
+            told_memory.inspect(|told| learned.memory_ratios.push(now, bill.memory_mb / told));
+            told_cost.inspect(|told| learned.cost_ratios.push(now, seconds(bill.cost) / told));
+        }
+        if told_cost.is_none() && end == HopEnd::Succeeded {
+            let threads = self.traffic[traffic].threads;
+            learned.costs.push(now, bill.map_or(seconds(took) * threads, |bill| seconds(bill.cost)));
         }
         let engine = self.engines.get_mut(&engine).expect("an engine that a hop went to");
         engine.out.retain(|o| *o != (id, hop));
@@ -199,9 +188,8 @@
         match end {
             HopEnd::Succeeded => {
                 let stretch = seconds(now - sent) / (ideal + seconds(self.fleet.tick));
-                let stretches = &mut self.learned[traffic].stretches;
-                stretches.push(now, stretch);
-                let best = quantile(stretches.values(), 0.1).unwrap_or(1.0).max(1.0);
+                learned.stretches.push(now, stretch);
+                let best = quantile(learned.stretches.values(), 0.1).unwrap_or(1.0).max(1.0);
                 engine.stretches.push(now, stretch / best);
                 engine.bad.push(now, 0.0);
             }
@@ -722,14 +710,10 @@
 
     /// The ordinary path: held tasks leave earliest first per tier, to the engine with most free room.
     fn release(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
-        let held = self.held();
-        if held.is_empty() {
-            return false;
-        }
         let mut gateways = sight.gateways.clone();
         let mut blocked: BTreeSet<(usize, Tier)> = BTreeSet::new();
         let mut fired = false;
-        for id in held {
+        for id in self.held() {
             let task = &self.tasks[&id];
             let again = task.hops.is_empty() || self.may_run_again(task, now) && self.hops_left(now) >= 1.0;
             if !again || !self.has_turn(id, task, now) {
@@ -740,13 +724,18 @@
             if tiers.all(|slot| blocked.contains(&slot)) {
                 continue;
             }
-            let open = |e: &Engine| self.allowed(task, e) && self.fits_cold(e, task, now);
+            // What would be dropped as late there is not sent there.
+            let poor = self.earns_little_late(task, now);
+            let in_vain = |seen: &Seen| poor && seen.pressed == Some(true);
+            let open = |id: EngineId, e: &Engine| {
+                self.allowed(task, e) && self.fits_cold(e, task, now) && !in_vain(&sight.engines[&id])
+            };
             let tried = |id: EngineId| task.hops.iter().any(|hop| hop.engine == id);
             let healthy = |e: EngineId| !sight.engines[&e].sick;
             let trickled =
                 |e: &Engine| e.out.is_empty() && e.sent.last().is_none_or(|(at, _)| at + self.beat() <= now);
-            let mut ready: Vec<(EngineId, &Engine)> =
-                self.engines.iter().filter(|(_, e)| open(e)).map(|(id, e)| (*id, e)).collect();
+            let ready = self.engines.iter().map(|(id, e)| (*id, e)).filter(|(id, e)| open(*id, e));
+            let mut ready: Vec<(EngineId, &Engine)> = ready.collect();
             // When all look bad, serving goes on; else a sick engine gets a trickle.
             if ready.iter().any(|(id, _)| healthy(*id)) {
                 ready.retain(|(id, e)| healthy(*id) || trickled(e));
--- a/src/state.rs
+++ b/src/state.rs
@@ -133,3 +133,13 @@
         }
     }
 }
+
+impl Task {
+    pub fn out(&self) -> bool {
+        self.hops.last().is_some_and(|hop| hop.end.is_none())
+    }
+
+    pub fn held(&self) -> bool {
+        !self.over && !self.out()
+    }
+}
