--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,6 +16,8 @@
 const MEDIUM_PART: f64 = 0.6;
 /// The first threshold, as a part of the memory that goes with one core.
 const UNBLOCKED_PART: f64 = 1.0 / 16.0;
+/// Difference in free room, as a part of the engine, that counts as a tie.
+const NEAR: f64 = 1.0 / 8.0;
 /// Threads a core that small and medium tasks hold under pressure.
 const SMALL_THREADS: f64 = 4.0;
 const MEDIUM_THREADS: f64 = 1.0;
@@ -724,17 +726,12 @@
             if tiers.all(|slot| blocked.contains(&slot)) {
                 continue;
             }
-            // What would be dropped as late there is not sent there.
-            let poor = self.earns_little_late(task, now);
-            let in_vain = |seen: &Seen| poor && seen.pressed == Some(true);
-            let open = |id: EngineId, e: &Engine| {
-                self.allowed(task, e) && self.fits_cold(e, task, now) && !in_vain(&sight.engines[&id])
-            };
+            let open = |e: &Engine| self.allowed(task, e) && self.fits_cold(e, task, now);
             let tried = |id: EngineId| task.hops.iter().any(|hop| hop.engine == id);
             let healthy = |e: EngineId| !sight.engines[&e].sick;
             let trickled =
                 |e: &Engine| e.out.is_empty() && e.sent.last().is_none_or(|(at, _)| at + self.beat() <= now);
-            let ready = self.engines.iter().map(|(id, e)| (*id, e)).filter(|(id, e)| open(*id, e));
+            let ready = self.engines.iter().map(|(id, e)| (*id, e)).filter(|(_, e)| open(e));
             let mut ready: Vec<(EngineId, &Engine)> = ready.collect();
             // When all look bad, serving goes on; else a sick engine gets a trickle.
             if ready.iter().any(|(id, _)| healthy(*id)) {
@@ -764,7 +761,7 @@
                 blocked.extend(full);
             }
             let most = free.iter().map(|f| f.0).fold(f64::NEG_INFINITY, f64::max);
-            free.retain(|f| f.0 >= most - 1.0 / 32.0);
+            free.retain(|f| f.0 >= most - NEAR);
             // Near ties only: away from a load that holds the group, to where it was read, to the home location.
             let liking = |to: EngineId| {
                 let engine = &self.engines[&to];
