--- a/src/logic.rs
+++ b/src/logic.rs
@@ -219,6 +219,7 @@
                     hop_out.finish = Some(now + span(left));
                 }
                 Notice::WaitsForMemory => engine.refused = Some(now),
+                Notice::WaitsForLoad => hop_out.stands = true,
                 _ => {}
             }
         }
@@ -584,6 +585,7 @@
             ideal,
             end: None,
             cancelled: false,
+            stands: false,
             finish: None,
         });
         engine.sent.push(now, usual);
@@ -689,7 +691,8 @@
             let (hop, run) = (&task.hops[0], sight.runs[task.traffic] * task.hops[0].ideal);
             let left = hop.finish.map(|finish| seconds(finish.saturating_sub(now)));
             let unseen = self.fleet.note_every.is_none();
-            left.is_some_and(|left| left > BAD_PLAN * run + seconds(self.fleet.tick))
+            hop.stands
+                || left.is_some_and(|left| left > BAD_PLAN * run + seconds(self.fleet.tick))
                 || unseen && seconds(now - hop.sent) > BAD_PLAN_UNSEEN * run + slack
         };
         let first = self.tasks.iter().filter(|(_, task)| task.hops.len() == 1 && task.out());
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,6 +36,7 @@
     pub ideal: f64,
     pub end: Option<HopEnd>,
     pub cancelled: bool,
+    pub stands: bool,
     pub finish: Option<Duration>,
 }
 
