--- a/src/logic.rs
+++ b/src/logic.rs
@@ -213,13 +213,13 @@
             && let Some(engine) = self.engines.get_mut(&hop_out.engine)
         {
             engine.heard = now;
+            hop_out.stands |= matches!(notice, Notice::WaitsForMemory | Notice::WaitsForLoad);
             match notice {
                 Notice::Done(done) if done > 0.0 => {
                     let left = seconds(now - hop_out.sent) * (1.0 - done).max(0.0) / done;
                     hop_out.finish = Some(now + span(left));
                 }
                 Notice::WaitsForMemory => engine.refused = Some(now),
-                Notice::WaitsForLoad => hop_out.stands = true,
                 _ => {}
             }
         }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -289,6 +289,7 @@
         0     task 0 to engine 0 until 7980
         0     task 1 gets 375 MB, priority 1
         0     task 1 to engine 0 until 7980
+        1190  cancel task 0 hop 0
         1210  bounce task 0, back after 400
     "#]]
     .assert_eq(&trace.decided());
