--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,7 +15,7 @@
 const SMALL_PART: f64 = 0.3;
 const MEDIUM_PART: f64 = 0.6;
 /// The first threshold, as a part of the memory that goes with one core.
-const UNBLOCKED_PART: f64 = 1.0 / 16.0;
+const UNBLOCKED_PART: f64 = 1.0 / 64.0;
 /// Difference in free room, as a part of the engine, that counts as a tie.
 const NEAR: f64 = 1.0 / 8.0;
 /// Threads a core that small and medium tasks hold under pressure.
