--- a/src/logic.rs
+++ b/src/logic.rs
@@ -167,7 +167,7 @@
         let (traffic, told_cost, told_memory) = (task.traffic, task.told_cost, task.told_memory);
         let Some(ended) = task.hops.get_mut(hop) else { return self.settle(now, out) };
         ended.end = Some(end);
-        let (ideal, sent, engine, stood) = (ended.ideal, ended.sent, ended.engine, ended.stands);
+        let (ideal, sent, engine) = (ended.ideal, ended.sent, ended.engine);
         let may_still_run = matches!(end, HopEnd::TimedOut | HopEnd::Broken | HopEnd::Withdrawn);
         if let (Some(key), Some(rest), true) = (task.key, self.duties.key_rest, may_still_run) {
             self.lines.entry(key).or_default().rest = Some((id, now + rest));
@@ -192,10 +192,7 @@
                 let stretch = seconds(now - sent) / (ideal + seconds(self.fleet.tick));
                 learned.stretches.push(now, stretch);
                 let best = quantile(learned.stretches.values(), 0.1).unwrap_or(1.0).max(1.0);
-                // What stood still behind another task tells nothing of the engine's speed.
-                if !stood {
-                    engine.stretches.push(now, stretch / best);
-                }
+                engine.stretches.push(now, stretch / best);
                 engine.bad.push(now, 0.0);
             }
             HopEnd::Overloaded => engine.refused = Some(now),
