--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -14,6 +14,7 @@
     who: u64,
     router: Router,
     reported: Vec<String>,
+    marks_retries: bool,
     names: Names,
 }
 
@@ -98,7 +99,8 @@
             _ => report.rows("names")?.iter().filter_map(|n| n.as_str().map(str::to_owned)).collect(),
         };
         let router = Router::new(fleet(line.whole("rngSeed")?, params)?, traffic(params)?, duties(params)?);
-        Ok(Self { who, router, reported, names: Names::default() })
+        let marks_retries = params.part("clientHabits").is_ok_and(|habits| habits.maybe_flag("marksRetry"));
+        Ok(Self { who, router, reported, marks_retries, names: Names::default() })
     }
 
     pub fn event(
@@ -109,7 +111,7 @@
         tables: &HashMap<u64, Vec<Value>>,
         reply: &mut Vec<u8>,
     ) -> Result<(), Fault> {
-        let Self { who, router, reported, names } = self;
+        let Self { who, router, reported, marks_retries, names } = self;
         let known = |name| {
             let name: &str = line.text(name)?;
             Ok::<_, Fault>(names.tasks.numbers.get(name).map(|t| *t as TaskId))
@@ -138,6 +140,7 @@
                     cost: line.maybe_time("estimateMs").filter(|cost| !cost.is_zero()),
                     memory_mb: line.maybe_number("needMb").filter(|need| *need > 0.0),
                     patience: line.time("graceMs")?,
+                    later_try: marks_retries.then(|| line.maybe_flag("repeat")),
                     group: line.maybe_number("tableGroup").map(|g| g as u64),
                     customer: line.maybe_number("org").unwrap_or(0.0) as usize,
                 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -128,6 +128,8 @@
     pub cost: Option<Duration>,
     pub memory_mb: Option<f64>,
     pub patience: Duration,
+    /// Whether the client tried before, where clients tell.
+    pub later_try: Option<bool>,
     pub group: Option<u64>,
     pub customer: usize,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -121,9 +121,14 @@
     pub fn accept(&mut self, now: Duration, arrival: Arrival, out: &mut impl Outlet) {
         let traffic = &self.traffic[arrival.traffic];
         let learned = &mut self.learned[arrival.traffic];
-        learned.longest_patience = learned.longest_patience.max(arrival.patience);
-        // A client's later try has less patience than a first one: so much of the way to the target is gone.
-        let spent = learned.longest_patience - arrival.patience;
+        // A client's later try has less patience than is usual: so much of the way to the target is gone. Where
+        // clients mark such tries, a first one with less patience than others is not taken for one.
+        if arrival.later_try != Some(true) {
+            learned.patiences.push(now, seconds(arrival.patience));
+        }
+        let usual = span(learned.patiences.median().unwrap_or(0.0));
+        let spent =
+            usual.saturating_sub(arrival.patience).mul_f64(f64::from(arrival.later_try != Some(false)));
         let key = arrival.key.filter(|_| traffic.keeps_order);
         let cost = match arrival.cost.map(seconds) {
             Some(told) => told * learned.cost_ratios.median().unwrap_or(1.0),
@@ -227,9 +232,7 @@
     }
 
     pub fn client_left(&mut self, now: Duration, id: TaskId, out: &mut impl Outlet) {
-        if let Some(task) = self.tasks.get_mut(&id) {
-            task.over = true;
-        }
+        self.tasks.entry(id).and_modify(|task| task.over = true);
         self.settle(now, out);
     }
 
@@ -591,10 +594,8 @@
         engine.sent.push(now, usual);
         if let Some(group) = group {
             engine.groups.retain(|g| *g != group);
-            engine.groups.push_back(group);
-            if engine.groups.len() > OUTCOMES {
-                engine.groups.pop_front();
-            }
+            engine.groups.truncate(OUTCOMES - 1);
+            engine.groups.push_front(group);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,7 +64,7 @@
     pub cost_ratios: Recent,
     pub memory_ratios: Recent,
     pub stretches: Recent,
-    pub longest_patience: Duration,
+    pub patiences: Recent,
 }
 
 /// Tasks of one key in the order taken, and the rest owed after a hop that may still run.
@@ -108,7 +108,7 @@
             cost_ratios: recent(),
             memory_ratios: recent(),
             stretches: recent(),
-            longest_patience: Duration::ZERO,
+            patiences: recent(),
         }
     }
 }
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -119,6 +119,17 @@
         self.accept_keyed(traffic, cost, memory_mb, None)
     }
 
+    /// A task whose client says whether it tried before.
+    pub fn accept_marked(&mut self, patience: u64, later_try: Option<bool>) -> &mut Self {
+        let (now, task) = (ms(self.lines.1), self.tasks);
+        self.tasks += 1;
+        let (cost, patience) = (Some(ms(100)), ms(patience));
+        let (traffic, key, memory_mb, group, customer) = (0, None, Some(300.0), None, 0);
+        let arrival = Arrival { task, traffic, key, cost, memory_mb, patience, later_try, group, customer };
+        self.router.accept(now, arrival, &mut self.lines);
+        self
+    }
+
     pub fn accept_keyed(&mut self, traffic: usize, cost: u64, memory: f64, key: Option<KeyId>) -> &mut Self {
         let arrival = Arrival {
             task: self.tasks,
@@ -127,6 +138,7 @@
             cost: (cost > 0).then(|| ms(cost)),
             memory_mb: (memory > 0.0).then_some(memory),
             patience: ms([8000, 16000, 24000][traffic]),
+            later_try: None,
             group: None,
             customer: 0,
         };
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -241,6 +241,39 @@
     .assert_eq(&trace.decided());
 }
 
+#[test]
+fn only_a_later_try_has_spent_its_way_to_the_target() {
+    let mut trace = Trace::new(0, |_, _, _| ());
+    trace.accept_marked(8000, Some(false)).accept_marked(6000, Some(false)).accept_marked(6000, Some(true));
+    trace.accept_marked(8000, None).accept_marked(6000, None).wait(400);
+    expect![[r#"
+        0     bounce task 2, back after 400
+        0     bounce task 4, back after 400
+        320   bounce task 0, back after 400
+        320   bounce task 1, back after 400
+        320   bounce task 3, back after 400
+    "#]]
+    .assert_eq(&trace.decided());
+}
+
+#[test]
+fn lasting_slowness_still_counts_as_pressure() {
+    let mut trace = Trace::new(1, |_, _, _| ());
+    for task in 0..40 {
+        trace.at(400 * u64::from(task)).accept(0, 100, 300.0).at(400 * u64::from(task) + 390);
+        trace.ended(task, 0, 0, HopEnd::Succeeded);
+    }
+    trace.decided();
+    for _ in 0..3 {
+        trace.accept(1, 3000, 2500.0);
+    }
+    expect![[r#"
+        15990 task 40 gets 3125 MB, priority 1
+        15990 task 40 to engine 0 until 31970
+    "#]]
+    .assert_eq(&trace.decided());
+}
+
 #[test]
 fn a_silent_engine_loses_what_may_run_again() {
     let mut trace = Trace::new(2, |fleet, _, _| fleet.note_every = None);
