--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,6 +1,6 @@
-//! The decisions. Callers reach them through the methods of [`Router`], one for each kind of input; what goes in and
-//! the `Outlet` through which answers come out are described in `lib.rs`. After each input the rules at the end of
-//! `settle` run in their order until none fires.
+//! The decisions. Callers reach them through the methods of [`Router`], one for each kind of input; `lib.rs` has
+//! what goes in and the `Outlet` that answers come out of. After each input the rules listed in `settle` run in
+//! their order until none fires.
 
 use crate::recent::{Recent, mean, quantile};
 use crate::state::{Engine, Gateway, Hop, Learned, Line, Seen, Sight, Task, Tier};
@@ -57,7 +57,7 @@
 }
 
 impl Gateway {
-    /// The design's categories: the target's parts over this router's mean count per engine, the new task included.
+    /// The design's categories: the target's parts over this router's mean count per engine, the new one included.
     fn tier(&self, memory: Option<f64>) -> Tier {
         let threshold = |part: f64, count: f64| self.target * part * self.engines / (count + 1.0);
         match memory {
@@ -121,7 +121,7 @@
     pub fn accept(&mut self, now: Duration, arrival: Arrival, out: &mut impl Outlet) {
         let traffic = &self.traffic[arrival.traffic];
         let learned = &mut self.learned[arrival.traffic];
-        // A client's later try has less patience than is usual: so much of the way to the target is gone. Where
+        // A client's later try has less patience than usual: so much of the way to the target is gone. Where
         // clients mark such tries, a first one with less patience than others is not taken for one.
         if arrival.later_try != Some(true) {
             learned.patiences.push(now, seconds(arrival.patience));
@@ -196,14 +196,14 @@
             HopEnd::Succeeded => {
                 let stretch = seconds(now - sent) / (ideal + seconds(self.fleet.tick));
                 learned.stretches.push(now, stretch);
-                // Against the run on an idle engine, not the best of late: in lasting overload that drifts up.
+                // Over an idle engine's run, not the best of late: in lasting overload that drifts up.
                 engine.stretches.push(now, stretch);
                 engine.bad.push(now, 0.0);
             }
             HopEnd::Overloaded => engine.refused = Some(now),
             HopEnd::Failed | HopEnd::TimedOut => engine.bad.push(now, 1.0),
-            // Guards against lost machines and halls: two marks, so that the first failed connect counts, and cold
-            // from then on, since the list tells of a restart late.
+            // Guards against lost machines and halls: two marks, so that the first failed connect counts, and
+            // cold from then on, since the list tells of a restart late.
             HopEnd::Unreachable | HopEnd::Broken => {
                 (0..2).for_each(|_| engine.bad.push(now, 1.0));
                 engine.cold_since = Some(now);
@@ -346,7 +346,7 @@
         Sight { runs, engines, gateways }
     }
 
-    /// The target moves with the pressure that the kind's engines show, from half to three halves of its start.
+    /// The target moves with the pressure that the kind's engines show, from half to 1.5 of its start.
     fn gateway(&self, kind: usize, seen: &BTreeMap<EngineId, Seen>) -> Gateway {
         let Kind { cores, memory_mb } = self.fleet.kinds[kind];
         let engines = || self.engines.iter().filter(|(_, engine)| engine.kind == kind && engine.ready);
