--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,8 @@
 //! emberflow: the front for query engines with limited memory, as a library without I/O, clock or JSON.
 //!
 //! A caller builds one [`Router`] from the [`Fleet`], the [`TrafficType`]s and the [`Duties`] it was started
-//! with, and reports everything that happens by a method call that takes the time and an [`Outlet`]. The router
-//! answers through that outlet before the call returns, and keeps the tasks and engines itself.
+//! with, and reports everything that happens by a method call that takes the time and an [`Outlet`]. The
+//! router answers through that outlet before the call returns, and keeps the tasks and engines itself.
 //!
 //! Times are spans since the caller's start. Tasks, engines and keys are small indices that the caller gives
 //! out: task indices rise in the order of arrival and are never used again.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,6 +1,6 @@
-//! The decisions. Callers reach them through the methods of [`Router`], one for each kind of input; `lib.rs` has
-//! what goes in and the `Outlet` that answers come out of. After each input the rules listed in `settle` run in
-//! their order until none fires.
+//! The decisions. Callers reach them through the methods of [`Router`], one for each kind of input; `lib.rs`
+//! has what goes in and the `Outlet` that answers come out of. After each input the rules listed in `settle`
+//! run in their order until none fires.
 
 use crate::recent::{Recent, mean, quantile};
 use crate::state::{Engine, Gateway, Hop, Learned, Line, Seen, Sight, Task, Tier};
@@ -57,7 +57,7 @@
 }
 
 impl Gateway {
-    /// The design's categories: the target's parts over this router's mean count per engine, the new one included.
+    /// The design's categories: parts of the target over the mean count per engine, the new one included.
     fn tier(&self, memory: Option<f64>) -> Tier {
         let threshold = |part: f64, count: f64| self.target * part * self.engines / (count + 1.0);
         match memory {
@@ -462,8 +462,8 @@
     }
 
     /// Whether the tier has a slot open at an engine: largest one at a time, the others bound under pressure.
-    /// Guards against surges and slow fleets, where the design's limits lie beyond what engines bear: they shrink as
-    /// latency rises past the pressure line. Harms by refusing tasks on an engine that is slow for its own reasons.
+    /// Guards against surges and slow fleets, where the design's limits exceed what engines bear: they shrink
+    /// as latency rises. Harms by refusing tasks on an engine that is slow for its own reasons.
     fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, seen: &Seen) -> bool {
         let of_tier = engine.out.iter().map(|(task, hop)| (&self.tasks[task], *hop));
         let of_tier = of_tier.filter(|(task, hop)| task.hops[*hop].tier == tier);
@@ -478,7 +478,7 @@
         }
     }
 
-    /// Parts of memory and cores that an engine has in use once it has the task: as last reported, with this router's
+    /// Parts of memory and cores in use at an engine once it has the task: as last reported, with the router's
     /// own hops that a report may not show yet on top, or by its own hops over its share.
     fn load(&self, id: EngineId, engine: &Engine, task: &Task, now: Duration) -> (f64, f64) {
         let Kind { cores, memory_mb } = self.fleet.kinds[engine.kind];
@@ -666,7 +666,7 @@
         false
     }
 
-    /// Guards against engines that take work and answer nothing: hops are taken back where a repeat is allowed.
+    /// Guards against engines that take work and answer nothing: takes hops back where a repeat is allowed.
     fn cancel_on_silent_engines(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
         let mut fired = false;
         for (id, _) in sight.engines.iter().filter(|(_, seen)| seen.silence >= 1.5) {
@@ -766,7 +766,7 @@
             }
             let most = free.iter().map(|f| f.0).fold(f64::NEG_INFINITY, f64::max);
             free.retain(|f| f.0 >= most - NEAR);
-            // Near ties only: away from a load that holds the group, to where it was read, to the home location.
+            // Near ties only: away from a load on the group, to where it was read, to the home location.
             let liking = |to: EngineId| {
                 let engine = &self.engines[&to];
                 let loads = engine.out.iter().map(|(id, _)| &self.tasks[id]);
@@ -787,7 +787,7 @@
         fired
     }
 
-    /// Held tasks are refused when the time left cannot cover their run, or after a time-out that grows by tier.
+    /// Refuses when the time left cannot cover a run, or after a time-out that grows by tier.
     fn refuse_what_waits_in_vain(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
         let mut fired = false;
         for id in self.held() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,7 +74,8 @@
     pub rest: Option<(TaskId, Duration)>,
 }
 
-/// What one round of the rules sees: run over that on an idle engine, by traffic type; the engines; the thresholds.
+/// What one round of the rules sees: run over that on an idle engine, by traffic type; the engines; the
+/// thresholds.
 pub struct Sight {
     pub runs: Vec<f64>,
     pub engines: BTreeMap<EngineId, Seen>,
