--- a/src/logic.rs
+++ b/src/logic.rs
@@ -478,7 +478,7 @@
         }
     }
 
-    /// Parts of memory and cores in use at an engine once it has the task: as last reported, with the router's
+    /// Parts of memory and cores in use at an engine once it has the task: as last told, with the router's
     /// own hops that a report may not show yet on top, or by its own hops over its share.
     fn load(&self, id: EngineId, engine: &Engine, task: &Task, now: Duration) -> (f64, f64) {
         let Kind { cores, memory_mb } = self.fleet.kinds[engine.kind];
