--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -2,8 +2,8 @@
 
 use crate::fields::{Fault, Fields, from_ms, to_ms};
 use emberflow::{
-    Arrival, Bill, Customer, Duties, Effect, Ended, EngineId, Fleet, HopBudget, HopEnd, KeyId, Kind, Listing,
-    Notice, Outlet, Router, Scope, Signals, TaskId, TrafficType,
+    Arrival, Bill, Duties, Effect, Ended, EngineId, Fleet, HopBudget, HopEnd, KeyId, Kind, Listing, Notice,
+    Outlet, Router, Scope, Signals, TaskId, TrafficType,
 };
 use serde_json::{Value, json};
 use std::collections::HashMap;
@@ -142,7 +142,6 @@
                     patience: line.time("graceMs")?,
                     later_try: marks_retries.then(|| line.maybe_flag("repeat")),
                     group: line.maybe_number("tableGroup").map(|g| g as u64),
-                    customer: line.maybe_number("org").unwrap_or(0.0) as usize,
                 };
                 router.accept(now, arrival, &mut Writer { who: *who, now, names, reply });
             }
@@ -244,7 +243,6 @@
     let cores = domain.rows("kindCores")?.iter();
     let memory = domain.rows("sizeMb")?.iter();
     let number = |value: &Value| value.as_f64().unwrap_or(0.0);
-    let customers = params.rows("tenants")?.iter();
     Ok(Fleet {
         seed,
         routers: params.index("instances")?,
@@ -256,9 +254,6 @@
         probes: caps.flag("probes")?,
         list_is_asked: params.text("discovery")? == "ask",
         tick: params.time("tickMs")?,
-        customers: customers
-            .map(|c| Fields(c).number("quotaRps").map(|tasks_per_s| Customer { tasks_per_s }))
-            .collect::<Result<_, Fault>>()?,
     })
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,7 +50,6 @@
     pub probes: bool,
     pub list_is_asked: bool,
     pub tick: Duration,
-    pub customers: Vec<Customer>,
 }
 
 pub struct Kind {
@@ -58,10 +57,6 @@
     pub memory_mb: f64,
 }
 
-pub struct Customer {
-    pub tasks_per_s: f64,
-}
-
 pub struct TrafficType {
     pub target: Duration,
     pub target_stretch: f64,
@@ -131,7 +126,6 @@
     /// Whether the client tried before, where clients tell.
     pub later_try: Option<bool>,
     pub group: Option<u64>,
-    pub customer: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -84,7 +84,6 @@
             probes: false,
             list_is_asked: false,
             tick: ms(5),
-            customers: Vec::new(),
         };
         let mut duties = Duties {
             most_hops: 3,
@@ -124,8 +123,8 @@
         let (now, task) = (ms(self.lines.1), self.tasks);
         self.tasks += 1;
         let (cost, patience) = (Some(ms(100)), ms(patience));
-        let (traffic, key, memory_mb, group, customer) = (0, None, Some(300.0), None, 0);
-        let arrival = Arrival { task, traffic, key, cost, memory_mb, patience, later_try, group, customer };
+        let (traffic, key, memory_mb, group) = (0, None, Some(300.0), None);
+        let arrival = Arrival { task, traffic, key, cost, memory_mb, patience, later_try, group };
         self.router.accept(now, arrival, &mut self.lines);
         self
     }
@@ -140,7 +139,6 @@
             patience: ms([8000, 16000, 24000][traffic]),
             later_try: None,
             group: None,
-            customer: 0,
         };
         self.tasks += 1;
         self.router.accept(ms(self.lines.1), arrival, &mut self.lines);
