Correct memory estimates by notes of spilling where nothing bills

Kept: the design corrects by outcomes. Could harm where engines cut grants: more than was needed may be taken for the need.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,7 @@
 use crate::*;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::hash::Hasher;
+use std::hash::{Hash, Hasher};
 
 /// Part of an engine's memory, within this router's share, that the target starts at (the design's 0.5).
 const TARGET_PART: f64 = 0.5;
@@ -153,9 +153,7 @@
         };
         let stretch = span(traffic.target_stretch * task.ideal);
         task.target = (now + traffic.target + stretch).saturating_sub(spent).min(task.patience);
-        if arrival.cost.is_some() {
-            learned.costs.push(now, cost);
-        }
+        arrival.cost.inspect(|_| learned.costs.push(now, cost));
         if let Some(key) = key {
             self.lines.entry(key).or_default().tasks.push_back(arrival.task);
         }
@@ -172,7 +170,7 @@
         let (traffic, told_cost, told_memory) = (task.traffic, task.told_cost, task.told_memory);
         let Some(ended) = task.hops.get_mut(hop) else { return self.settle(now, out) };
         ended.end = Some(end);
-        let (ideal, sent, engine) = (ended.ideal, ended.sent, ended.engine);
+        let Hop { ideal, sent, engine, grant, missing, .. } = *ended;
         let may_still_run = matches!(end, HopEnd::TimedOut | HopEnd::Broken | HopEnd::Withdrawn);
         if let (Some(key), Some(rest), true) = (task.key, self.duties.key_rest, may_still_run) {
             self.lines.entry(key).or_default().rest = Some((id, now + rest));
@@ -183,6 +181,10 @@
             told_memory.inspect(|told| learned.memory_ratios.push(now, bill.memory_mb / told));
             told_cost.inspect(|told| learned.cost_ratios.push(now, seconds(bill.cost) / told));
         }
+        // Unbilled, a spill tells the most that was needed; the median heeds it once most tasks spill.
+        if let (None, HopEnd::Succeeded, Some(told)) = (bill, end, told_memory) {
+            learned.memory_ratios.push(now, if missing > 0.0 { (grant + missing) / told } else { 1.0 });
+        }
         if told_cost.is_none() && end == HopEnd::Succeeded {
             let threads = self.traffic[traffic].threads;
             learned.costs.push(now, bill.map_or(seconds(took) * threads, |bill| seconds(bill.cost)));
@@ -224,6 +226,7 @@
                     let left = seconds(now - hop_out.sent) * (1.0 - done).max(0.0) / done;
                     hop_out.finish = Some(now + span(left));
                 }
+                Notice::Spills(missing_mb) => hop_out.missing = hop_out.missing.max(missing_mb),
                 Notice::WaitsForMemory => engine.refused = Some(now),
                 _ => {}
             }
@@ -535,9 +538,7 @@
 
     fn chance(&self, engine: EngineId) -> u64 {
         let mut hasher = DefaultHasher::new();
-        for part in [self.fleet.seed, self.draws, engine as u64] {
-            hasher.write_u64(part);
-        }
+        (self.fleet.seed, self.draws, engine).hash(&mut hasher);
         hasher.finish()
     }
 
@@ -549,10 +550,9 @@
 
     fn refuse(&mut self, id: TaskId, out: &mut impl Outlet) {
         let come_back = self.duties.longest_come_back.map(|longest| self.beat().min(longest));
-        if self.may_bounce(&self.tasks[&id]) {
-            out.bounce(id, come_back);
-        } else {
-            out.give_up(id);
+        match self.may_bounce(&self.tasks[&id]) {
+            true => out.bounce(id, come_back),
+            false => out.give_up(id),
         }
         self.tasks.entry(id).and_modify(|task| task.over = true);
     }
@@ -589,6 +589,7 @@
             end: None,
             cancelled: false,
             stands: false,
+            missing: 0.0,
             finish: None,
         });
         engine.sent.push(now, usual);
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,6 +37,7 @@
     pub end: Option<HopEnd>,
     pub cancelled: bool,
     pub stands: bool,
+    pub missing: f64,
     pub finish: Option<Duration>,
 }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -274,6 +274,20 @@
     .assert_eq(&trace.decided());
 }
 
+#[test]
+fn spills_raise_the_grant_where_nothing_bills() {
+    let mut trace = Trace::new(1, |_, _, _| ());
+    trace.accept(1, 300, 400.0).at(90).notice(0, 0, Notice::Spills(300.0));
+    trace.at(100).ended(0, 0, 0, HopEnd::Succeeded).accept(1, 300, 400.0);
+    expect![[r#"
+        0     task 0 gets 500 MB, priority 1
+        0     task 0 to engine 0 until 15980
+        100   task 1 gets 1000 MB, priority 1
+        100   task 1 to engine 0 until 16080
+    "#]]
+    .assert_eq(&trace.decided());
+}
+
 #[test]
 fn a_silent_engine_loses_what_may_run_again() {
     let mut trace = Trace::new(2, |fleet, _, _| fleet.note_every = None);
