--- a/src/logic.rs
+++ b/src/logic.rs
@@ -170,7 +170,7 @@
         let (traffic, told_cost, told_memory) = (task.traffic, task.told_cost, task.told_memory);
         let Some(ended) = task.hops.get_mut(hop) else { return self.settle(now, out) };
         ended.end = Some(end);
-        let Hop { ideal, sent, engine, grant, missing, .. } = *ended;
+        let Hop { sent, engine, grant, missing, .. } = *ended;
         let may_still_run = matches!(end, HopEnd::TimedOut | HopEnd::Broken | HopEnd::Withdrawn);
         if let (Some(key), Some(rest), true) = (task.key, self.duties.key_rest, may_still_run) {
             self.lines.entry(key).or_default().rest = Some((id, now + rest));
@@ -196,7 +196,7 @@
         }
         match end {
             HopEnd::Succeeded => {
-                let stretch = seconds(now - sent) / (ideal + seconds(self.fleet.tick));
+                let stretch = seconds(now - sent) / (task.ideal + seconds(self.fleet.tick));
                 learned.stretches.push(now, stretch);
                 // Over an idle engine's run, not the best of late: in lasting overload that drifts up.
                 engine.stretches.push(now, stretch);
@@ -345,12 +345,13 @@
             }
         };
         let engines: BTreeMap<EngineId, Seen> = self.engines.iter().map(|(id, e)| (*id, see(e))).collect();
-        let gateways = (0..self.fleet.kinds.len()).map(|kind| self.gateway(kind, &engines)).collect();
-        Sight { runs, engines, gateways }
+        let share = self.share();
+        let gateways = (0..self.fleet.kinds.len()).map(|kind| self.gateway(kind, share, &engines)).collect();
+        Sight { runs, share, engines, gateways }
     }
 
     /// The target moves with the pressure that the kind's engines show, from half to 1.5 of its start.
-    fn gateway(&self, kind: usize, seen: &BTreeMap<EngineId, Seen>) -> Gateway {
+    fn gateway(&self, kind: usize, share: f64, seen: &BTreeMap<EngineId, Seen>) -> Gateway {
         let Kind { cores, memory_mb } = self.fleet.kinds[kind];
         let engines = || self.engines.iter().filter(|(_, engine)| engine.kind == kind && engine.ready);
         let mood = |id| match seen[id].pressed {
@@ -365,7 +366,7 @@
         };
         Gateway {
             unblocked: memory_mb / cores * UNBLOCKED_PART,
-            target: memory_mb * self.share() * TARGET_PART * (1.0 + calm / 2.0),
+            target: memory_mb * share * TARGET_PART * (1.0 + calm / 2.0),
             engines: engines().count().max(1) as f64,
             small: count(Tier::Small),
             medium: count(Tier::Medium),
@@ -452,13 +453,13 @@
 
     /// Guards cold engines: this router's part of what a starting engine takes in any window, by the usual
     /// work of the traffic type. Harms by keeping costly types away from a warming engine.
-    fn fits_cold(&self, engine: &Engine, task: &Task, now: Duration) -> bool {
+    fn fits_cold(&self, engine: &Engine, task: &Task, now: Duration, share: f64) -> bool {
         let age = engine.cold_since.map(|at| seconds(now.saturating_sub(at)) / seconds(self.duties.warm_up));
         let Some(warmth) = age.filter(|age| *age < 1.0) else { return true };
         let start = self.duties.start_capacity;
         let capacity = self.fleet.kinds[engine.kind].cores * CAPACITY * (start + (1.0 - start) * warmth);
         let window = seconds(self.duties.fall);
-        let budget = self.duties.overload_factor * capacity * window * self.share();
+        let budget = self.duties.overload_factor * capacity * window * share;
         let usual = self.usual_cost(task.traffic).max(seconds(self.fleet.tick));
         let sent: f64 = engine.sent.since(now.saturating_sub(self.duties.fall)).sum();
         sent + usual <= budget
@@ -467,11 +468,11 @@
     /// Whether the tier has a slot open at an engine: largest one at a time, the others bound under pressure.
     /// Guards against surges and slow fleets, where the design's limits exceed what engines bear: they shrink
     /// as latency rises. Harms by refusing tasks on an engine that is slow for its own reasons.
-    fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, seen: &Seen) -> bool {
+    fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, seen: &Seen, share: f64) -> bool {
         let of_tier = engine.out.iter().map(|(task, hop)| (&self.tasks[task], *hop));
         let of_tier = of_tier.filter(|(task, hop)| task.hops[*hop].tier == tier);
         let held: f64 = of_tier.map(|(task, _)| self.traffic[task.traffic].threads).sum();
-        let most = self.fleet.kinds[engine.kind].cores * self.share() * seen.ease;
+        let most = self.fleet.kinds[engine.kind].cores * share * seen.ease;
         match tier {
             Tier::Unblocked => true,
             Tier::Largest => held == 0.0,
@@ -483,12 +484,13 @@
 
     /// Parts of memory and cores in use at an engine once it has the task: as last told, with the router's
     /// own hops that a report may not show yet on top, or by its own hops over its share.
-    fn load(&self, id: EngineId, engine: &Engine, task: &Task, now: Duration) -> (f64, f64) {
+    fn load(&self, id: EngineId, task: &Task, now: Duration, share: f64) -> (f64, f64) {
+        let engine = &self.engines[&id];
         let Kind { cores, memory_mb } = self.fleet.kinds[engine.kind];
         let (grant, threads) = (self.grant(task, engine.kind), self.traffic[task.traffic].threads);
         let parts = |(own, own_threads)| ((own + grant) / memory_mb, (own_threads + threads) / cores);
         let (memory, busy) = parts(self.own(id, Duration::ZERO));
-        let guess = (memory / self.share(), busy / self.share());
+        let guess = (memory / share, busy / share);
         let Some((at, signals)) = &engine.report else { return guess };
         let (unseen, unseen_busy) = parts(self.own(id, at.saturating_sub(self.beat())));
         // Guards against engines that answer nothing more and so look as free as this router's part.
@@ -530,10 +532,10 @@
         }
     }
 
-    /// Whether a hop may be taken back to send the task again: allowed, in time and within the budget.
+    /// Whether a hop may be taken back to send the task again: allowed and in time; callers keep the budget.
     fn may_move(&self, task: &Task, now: Duration) -> bool {
         let time = seconds(task.patience.saturating_sub(now)) > 2.0 * task.ideal;
-        !task.over && time && self.may_run_again(task, now) && self.hops_left(now) >= 1.0
+        !task.over && time && self.may_run_again(task, now)
     }
 
     fn chance(&self, engine: EngineId) -> u64 {
@@ -548,13 +550,19 @@
 
     // ---- effects ----
 
-    fn refuse(&mut self, id: TaskId, out: &mut impl Outlet) {
+    /// Answers the held tasks that `hopeless` names.
+    fn refuse(&mut self, hopeless: impl Fn(&Self, &Task) -> bool, out: &mut impl Outlet) -> bool {
         let come_back = self.duties.longest_come_back.map(|longest| self.beat().min(longest));
-        match self.may_bounce(&self.tasks[&id]) {
-            true => out.bounce(id, come_back),
-            false => out.give_up(id),
+        let mut held = self.held();
+        held.retain(|id| hopeless(self, &self.tasks[id]));
+        for id in &held {
+            match self.may_bounce(&self.tasks[id]) {
+                true => out.bounce(*id, come_back),
+                false => out.give_up(*id),
+            }
+            self.tasks.entry(*id).and_modify(|task| task.over = true);
         }
-        self.tasks.entry(id).and_modify(|task| task.over = true);
+        !held.is_empty()
     }
 
     fn take_back(&mut self, mut hops: Vec<(TaskId, usize)>, out: &mut impl Outlet) -> bool {
@@ -569,7 +577,7 @@
     fn send(&mut self, now: Duration, id: TaskId, to: EngineId, tier: Tier, out: &mut impl Outlet) {
         let task = &self.tasks[&id];
         let engine = &self.engines[&to];
-        let (grant, ideal) = (self.grant(task, engine.kind), task.ideal);
+        let grant = self.grant(task, engine.kind);
         let usual = self.usual_cost(task.traffic);
         out.terms(id, grant.round(), self.priority(task.traffic));
         out.send(id, to, task.patience.saturating_sub(self.margin()));
@@ -585,7 +593,6 @@
             sent: now,
             tier,
             grant,
-            ideal,
             end: None,
             cancelled: false,
             stands: false,
@@ -642,17 +649,12 @@
 
     /// One final answer before patience ends, and at once where no further hop is allowed.
     fn answer_in_time(&mut self, now: Duration, _: &Sight, out: &mut impl Outlet) -> bool {
-        let mut fired = false;
-        for id in self.held() {
-            let task = &self.tasks[&id];
-            let late = now + self.margin() * 3 >= task.patience;
-            let again = || self.may_run_again(task, now) && !self.earns_little_late(task, now);
-            if late || !task.hops.is_empty() && !again() {
-                self.refuse(id, out);
-                fired = true;
-            }
-        }
-        fired
+        let hopeless = |router: &Self, task: &Task| {
+            let late = now + router.margin() * 3 >= task.patience;
+            let again = || router.may_run_again(task, now) && !router.earns_little_late(task, now);
+            late || !task.hops.is_empty() && !again()
+        };
+        self.refuse(hopeless, out)
     }
 
     /// Tells a slow engine from a silent one, where probes may: an answer counts as a sign of life.
@@ -690,7 +692,7 @@
     fn cancel_bad_plans(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
         let slack = seconds(self.beat());
         let bad = |task: &Task| {
-            let (hop, run) = (&task.hops[0], sight.runs[task.traffic] * task.hops[0].ideal);
+            let (hop, run) = (&task.hops[0], sight.runs[task.traffic] * task.ideal);
             let left = hop.finish.map(|finish| seconds(finish.saturating_sub(now)));
             let unseen = self.fleet.note_every.is_none();
             hop.stands
@@ -731,7 +733,7 @@
             if tiers.all(|slot| blocked.contains(&slot)) {
                 continue;
             }
-            let open = |e: &Engine| self.allowed(task, e) && self.fits_cold(e, task, now);
+            let open = |e: &Engine| self.allowed(task, e) && self.fits_cold(e, task, now, sight.share);
             let tried = |id: EngineId| task.hops.iter().any(|hop| hop.engine == id);
             let healthy = |e: EngineId| !sight.engines[&e].sick;
             let trickled =
@@ -752,9 +754,9 @@
                 if blocked.contains(&(engine.kind, tier)) {
                     continue;
                 }
-                let (memory_in_use, busy) = self.load(to, engine, task, now);
+                let (memory_in_use, busy) = self.load(to, task, now, sight.share);
                 let fits = memory_in_use <= 1.0 || tier <= Tier::Small || engine.out.is_empty();
-                if fits && self.slot_open(engine, tier, threads, seen) {
+                if fits && self.slot_open(engine, tier, threads, seen, sight.share) {
                     free.push((1.0 - (memory_in_use + busy) / 2.0 * seen.slow, to, tier));
                 } else {
                     full.push((engine.kind, tier));
@@ -790,21 +792,14 @@
 
     /// Refuses when the time left cannot cover a run, or after a time-out that grows by tier.
     fn refuse_what_waits_in_vain(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
-        let mut fired = false;
-        for id in self.held() {
-            let task = &self.tasks[&id];
-            let run = span(task.ideal * sight.runs[task.traffic]);
-            let memory = task.tier_memory();
-            let tier =
-                sight.gateways.iter().map(|gateway| gateway.tier(memory)).min().unwrap_or(Tier::Largest);
-            let out_of_time =
-                task.arrived + task.target.saturating_sub(task.arrived).mul_f64(HOLD[tier as usize]);
-            if now + run > task.target || now > out_of_time {
-                self.refuse(id, out);
-                fired = true;
-            }
-        }
-        fired
+        let hopeless = |_: &Self, task: &Task| {
+            let (run, memory) = (span(task.ideal * sight.runs[task.traffic]), task.tier_memory());
+            let tiers = sight.gateways.iter().map(|gateway| gateway.tier(memory));
+            let hold = HOLD[tiers.min().unwrap_or(Tier::Largest) as usize];
+            let time_out = task.arrived + task.target.saturating_sub(task.arrived).mul_f64(hold);
+            now + run > task.target || now > time_out
+        };
+        self.refuse(hopeless, out)
     }
 
     fn stay_awake(&mut self, now: Duration, _: &Sight, out: &mut impl Outlet) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,7 +33,6 @@
     pub sent: Duration,
     pub tier: Tier,
     pub grant: f64,
-    pub ideal: f64,
     pub end: Option<HopEnd>,
     pub cancelled: bool,
     pub stands: bool,
@@ -75,10 +74,11 @@
     pub rest: Option<(TaskId, Duration)>,
 }
 
-/// What one round of the rules sees: run over that on an idle engine, by traffic type; the engines; the
-/// thresholds.
+/// What one round of the rules sees: run over that on an idle engine, by traffic type; this router's
+/// share; the engines; the thresholds.
 pub struct Sight {
     pub runs: Vec<f64>,
+    pub share: f64,
     pub engines: BTreeMap<EngineId, Seen>,
     pub gateways: Vec<Gateway>,
 }
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -120,26 +120,16 @@
 
     /// A task whose client says whether it tried before.
     pub fn accept_marked(&mut self, patience: u64, later_try: Option<bool>) -> &mut Self {
-        let (now, task) = (ms(self.lines.1), self.tasks);
-        self.tasks += 1;
-        let (cost, patience) = (Some(ms(100)), ms(patience));
-        let (traffic, key, memory_mb, group) = (0, None, Some(300.0), None);
-        let arrival = Arrival { task, traffic, key, cost, memory_mb, patience, later_try, group };
-        self.router.accept(now, arrival, &mut self.lines);
-        self
+        let arrival = Arrival { patience: ms(patience), later_try, ..arrival(0, 100, 300.0) };
+        self.arrive(arrival)
     }
 
     pub fn accept_keyed(&mut self, traffic: usize, cost: u64, memory: f64, key: Option<KeyId>) -> &mut Self {
-        let arrival = Arrival {
-            task: self.tasks,
-            traffic,
-            key,
-            cost: (cost > 0).then(|| ms(cost)),
-            memory_mb: (memory > 0.0).then_some(memory),
-            patience: ms([8000, 16000, 24000][traffic]),
-            later_try: None,
-            group: None,
-        };
+        self.arrive(Arrival { key, ..arrival(traffic, cost, memory) })
+    }
+
+    fn arrive(&mut self, arrival: Arrival) -> &mut Self {
+        let arrival = Arrival { task: self.tasks, ..arrival };
         self.tasks += 1;
         self.router.accept(ms(self.lines.1), arrival, &mut self.lines);
         self
@@ -203,3 +193,16 @@
         launched: launched.map(ms),
     }
 }
+
+fn arrival(traffic: usize, cost: u64, memory_mb: f64) -> Arrival {
+    Arrival {
+        task: 0,
+        traffic,
+        key: None,
+        cost: (cost > 0).then(|| ms(cost)),
+        memory_mb: (memory_mb > 0.0).then_some(memory_mb),
+        patience: ms([8000, 16000, 24000][traffic]),
+        later_try: None,
+        group: None,
+    }
+}
