--- a/src/logic.rs
+++ b/src/logic.rs
@@ -329,7 +329,7 @@
 
     fn sight(&self, now: Duration) -> Sight {
         let from = now.saturating_sub(self.beat() * 4);
-        let recent = self.engines.values().flat_map(|e| e.stretches.since(from));
+        let recent = self.learned.iter().flat_map(|l| l.stretches.since(from));
         let stretch = quantile(recent, 0.5).unwrap_or(1.0).max(1.0);
         let run = |l: &Learned| quantile(l.stretches.since(from), 0.5).unwrap_or(1.0).max(1.0);
         let runs: Vec<f64> = self.learned.iter().map(run).collect();
@@ -344,10 +344,15 @@
                 slow: own.map_or(1.0, |own| (own / stretch).clamp(0.5, 4.0)),
             }
         };
-        let engines: BTreeMap<EngineId, Seen> = self.engines.iter().map(|(id, e)| (*id, see(e))).collect();
-        let share = self.share();
-        let gateways = (0..self.fleet.kinds.len()).map(|kind| self.gateway(kind, share, &engines)).collect();
-        Sight { runs, share, engines, gateways }
+        // Where nothing waits to be sent, only the engines that hold something matter.
+        let held = self.tasks.values().any(Task::held);
+        let engines = self.engines.iter().filter(|(_, e)| held || !e.out.is_empty());
+        let engines = engines.map(|(id, e)| (*id, see(e))).collect();
+        Sight { runs, share: self.share(), engines }
+    }
+
+    fn gateways(&self, sight: &Sight) -> Vec<Gateway> {
+        (0..self.fleet.kinds.len()).map(|kind| self.gateway(kind, sight.share, &sight.engines)).collect()
     }
 
     /// The target moves with the pressure that the kind's engines show, from half to 1.5 of its start.
@@ -621,10 +626,8 @@
             Self::refuse_what_waits_in_vain,
             Self::stay_awake,
         ];
-        let mut sight = self.sight(now);
-        while rules.iter().any(|rule| rule(self, now, &sight, out)) {
-            sight = self.sight(now);
-        }
+        let sight = self.sight(now);
+        while rules.iter().any(|rule| rule(self, now, &sight, out)) {}
     }
 
     fn forget_what_is_over(&mut self, now: Duration, _: &Sight, _: &mut impl Outlet) -> bool {
@@ -660,8 +663,10 @@
     /// Tells a slow engine from a silent one, where probes may: an answer counts as a sign of life.
     fn probe_the_quiet(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
         let soon = now.saturating_sub(self.beat() / 2);
-        for (id, engine) in self.engines.iter_mut().filter(|_| self.fleet.probes) {
-            if sight.engines[id].silence >= 0.5 && engine.probed.is_none_or(|at| at <= soon) {
+        let quiet = sight.engines.iter().filter(|(_, seen)| self.fleet.probes && seen.silence >= 0.5);
+        for (id, _) in quiet {
+            let engine = self.engines.get_mut(id).expect("a seen engine");
+            if engine.probed.is_none_or(|at| at <= soon) {
                 engine.probed = Some(now);
                 out.probe(*id);
             }
@@ -719,10 +724,14 @@
 
     /// The ordinary path: held tasks leave earliest first per tier, to the engine with most free room.
     fn release(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
-        let mut gateways = sight.gateways.clone();
+        let held = self.held();
+        if held.is_empty() {
+            return false;
+        }
+        let mut gateways = self.gateways(sight);
         let mut blocked: BTreeSet<(usize, Tier)> = BTreeSet::new();
         let mut fired = false;
-        for id in self.held() {
+        for id in held {
             let task = &self.tasks[&id];
             let again = task.hops.is_empty() || self.may_run_again(task, now) && self.hops_left(now) >= 1.0;
             if !again || !self.has_turn(id, task, now) {
@@ -792,9 +801,13 @@
 
     /// Refuses when the time left cannot cover a run, or after a time-out that grows by tier.
     fn refuse_what_waits_in_vain(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
+        if self.held().is_empty() {
+            return false;
+        }
+        let gateways = self.gateways(sight);
         let hopeless = |_: &Self, task: &Task| {
             let (run, memory) = (span(task.ideal * sight.runs[task.traffic]), task.tier_memory());
-            let tiers = sight.gateways.iter().map(|gateway| gateway.tier(memory));
+            let tiers = gateways.iter().map(|gateway| gateway.tier(memory));
             let hold = HOLD[tiers.min().unwrap_or(Tier::Largest) as usize];
             let time_out = task.arrived + task.target.saturating_sub(task.arrived).mul_f64(hold);
             now + run > task.target || now > time_out
@@ -807,8 +820,10 @@
             self.watched = true;
             out.watch();
         }
-        if !self.tasks.is_empty() && self.wake_due <= now {
-            let wait = self.fleet.tick * 8;
+        // What waits to be sent is looked at more often than what is out.
+        let wait =
+            if self.held().is_empty() { self.beat() / 8 } else { Duration::ZERO }.max(self.fleet.tick * 8);
+        if !self.tasks.is_empty() && (self.wake_due <= now || self.wake_due > now + wait) {
             self.wake_due = now + wait;
             out.wake_after(wait);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -75,12 +75,11 @@
 }
 
 /// What one round of the rules sees: run over that on an idle engine, by traffic type; this router's
-/// share; the engines; the thresholds.
+/// share; the engines.
 pub struct Sight {
     pub runs: Vec<f64>,
     pub share: f64,
     pub engines: BTreeMap<EngineId, Seen>,
-    pub gateways: Vec<Gateway>,
 }
 
 pub struct Seen {
@@ -92,7 +91,6 @@
 }
 
 /// The figures behind one engine kind's thresholds.
-#[derive(Clone)]
 pub struct Gateway {
     pub unblocked: f64,
     pub target: f64,
