--- a/src/logic.rs
+++ b/src/logic.rs
@@ -90,6 +90,10 @@
     time.as_secs_f64()
 }
 
+fn add(a: (f64, f64), b: (f64, f64)) -> (f64, f64) {
+    (a.0 + b.0, a.1 + b.1)
+}
+
 fn span(seconds: f64) -> Duration {
     Duration::from_micros((seconds * 1e6).clamp(0.0, 1e12) as u64)
 }
@@ -340,14 +344,19 @@
                 pressed: self.pressed(engine, now, own.map(|own| own > PRESSED)),
                 silence,
                 sick: silence >= 1.0 || self.failing(engine, now),
-                ease: own.map_or(1.0, |own| (PRESSED / own).min(1.0)),
+                ease: (PRESSED / own.unwrap_or(stretch)).min(1.0),
                 slow: own.map_or(1.0, |own| (own / stretch).clamp(0.5, 4.0)),
             }
         };
         // Where nothing waits to be sent, only the engines that hold something matter.
         let held = self.tasks.values().any(Task::held);
         let engines = self.engines.iter().filter(|(_, e)| held || !e.out.is_empty());
-        let engines = engines.map(|(id, e)| (*id, see(e))).collect();
+        let mut engines: BTreeMap<EngineId, Seen> = engines.map(|(id, e)| (*id, see(e))).collect();
+        // Where nothing recent tells of an engine, as for most when routers are many, the others tell.
+        let told = engines.values().filter_map(|seen| seen.pressed).map(|p| f64::from(u8::from(p)));
+        if mean(told).is_some_and(|part| part > 0.5) {
+            engines.values_mut().for_each(|seen| seen.pressed = seen.pressed.or(Some(true)));
+        }
         Sight { runs, share: self.share(), engines }
     }
 
@@ -369,7 +378,14 @@
             let hops = engines().flat_map(|(_, engine)| &engine.out);
             hops.filter(|(task, hop)| self.tasks[task].hops[*hop].tier == tier).count() as f64
         };
+        let (memory, threads) = engines().map(|(id, _)| self.own(*id, Duration::ZERO)).fold((0.0, 0.0), add);
+        let pressed = || engines().filter(|(id, _)| seen[id].pressed == Some(true));
+        let held = |tier| pressed().map(|(_, engine)| self.threads_out(engine, tier)).sum();
         Gateway {
+            memory,
+            threads,
+            pool: pressed().map(|(id, _)| seen[id].ease * cores).sum(),
+            held: [Tier::Unblocked, Tier::Small, Tier::Medium, Tier::Largest].map(held),
             unblocked: memory_mb / cores * UNBLOCKED_PART,
             target: memory_mb * share * TARGET_PART * (1.0 + calm / 2.0),
             engines: engines().count().max(1) as f64,
@@ -470,32 +486,43 @@
         sent + usual <= budget
     }
 
+    fn threads_out(&self, engine: &Engine, tier: Tier) -> f64 {
+        let out = engine.out.iter().map(|(task, hop)| (&self.tasks[task], *hop));
+        let of_tier = out.filter(|(task, hop)| task.hops[*hop].tier == tier);
+        of_tier.map(|(task, _)| self.traffic[task.traffic].threads).sum()
+    }
+
     /// Whether the tier has a slot open at an engine: largest one at a time, the others bound under pressure.
     /// Guards against surges and slow fleets, where the design's limits exceed what engines bear: they shrink
-    /// as latency rises. Harms by refusing tasks on an engine that is slow for its own reasons.
-    fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, seen: &Seen, share: f64) -> bool {
-        let of_tier = engine.out.iter().map(|(task, hop)| (&self.tasks[task], *hop));
-        let of_tier = of_tier.filter(|(task, hop)| task.hops[*hop].tier == tier);
-        let held: f64 = of_tier.map(|(task, _)| self.traffic[task.traffic].threads).sum();
-        let most = self.fleet.kinds[engine.kind].cores * share * seen.ease;
+    /// as latency rises. Harms by refusing tasks on an engine that is slow for its own reasons. Guards against
+    /// many routers, whose one query at each engine adds up: parts under one query are pooled over all engines
+    /// under pressure. Harms by sparing an engine that could bear more, when others are under pressure.
+    fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, sight: (&Seen, &Gateway, f64)) -> bool {
+        let (seen, gateway, share) = sight;
+        let part = if tier == Tier::Small { SMALL_THREADS } else { MEDIUM_THREADS };
+        let most = self.fleet.kinds[engine.kind].cores * share * part;
+        let held = self.threads_out(engine, tier);
+        let pooled = gateway.held[tier as usize];
         match tier {
             Tier::Unblocked => true,
-            Tier::Largest => held == 0.0,
-            _ if held == 0.0 || seen.pressed != Some(true) => true,
-            Tier::Small => held + threads <= most * SMALL_THREADS,
-            Tier::Medium => held + threads <= most * MEDIUM_THREADS,
+            Tier::Largest if held > 0.0 => false,
+            _ if seen.pressed != Some(true) => true,
+            _ if most < threads => pooled == 0.0 || pooled + threads <= gateway.pool * share * part,
+            _ => held == 0.0 || tier != Tier::Largest && held + threads <= most * seen.ease,
         }
     }
 
     /// Parts of memory and cores in use at an engine once it has the task: as last told, with the router's
-    /// own hops that a report may not show yet on top, or by its own hops over its share.
-    fn load(&self, id: EngineId, task: &Task, now: Duration, share: f64) -> (f64, f64) {
+    /// own hops that a report may not show yet on top, or by its own hops there and the other routers' ones,
+    /// as many as its share tells, spread evenly.
+    fn load(&self, id: EngineId, task: &Task, now: Duration, share: f64, kind: &Gateway) -> (f64, f64) {
         let engine = &self.engines[&id];
         let Kind { cores, memory_mb } = self.fleet.kinds[engine.kind];
         let (grant, threads) = (self.grant(task, engine.kind), self.traffic[task.traffic].threads);
         let parts = |(own, own_threads)| ((own + grant) / memory_mb, (own_threads + threads) / cores);
-        let (memory, busy) = parts(self.own(id, Duration::ZERO));
-        let guess = (memory / share, busy / share);
+        let others = (1.0 / share - 1.0) / kind.engines;
+        let own = self.own(id, Duration::ZERO);
+        let guess = parts(add(own, (kind.memory * others, kind.threads * others)));
         let Some((at, signals)) = &engine.report else { return guess };
         let (unseen, unseen_busy) = parts(self.own(id, at.saturating_sub(self.beat())));
         // Guards against engines that answer nothing more and so look as free as this router's part.
@@ -763,9 +790,10 @@
                 if blocked.contains(&(engine.kind, tier)) {
                     continue;
                 }
-                let (memory_in_use, busy) = self.load(to, task, now, sight.share);
-                let fits = memory_in_use <= 1.0 || tier <= Tier::Small || engine.out.is_empty();
-                if fits && self.slot_open(engine, tier, threads, seen, sight.share) {
+                let gateway = &gateways[engine.kind];
+                let (memory_in_use, busy) = self.load(to, task, now, sight.share, gateway);
+                let fits = memory_in_use <= 1.0 || tier <= Tier::Small || gateway.threads == 0.0;
+                if fits && self.slot_open(engine, tier, threads, (seen, gateway, sight.share)) {
                     free.push((1.0 - (memory_in_use + busy) / 2.0 * seen.slow, to, tier));
                 } else {
                     full.push((engine.kind, tier));
@@ -789,9 +817,13 @@
             };
             let liked = free.iter().max_by_key(|(_, to, _)| (liking(*to), self.chance(*to)));
             let Some((_, to, tier)) = liked.copied() else { continue };
+            let gateway = &mut gateways[self.engines[&to].kind];
+            gateway.threads += threads;
+            if sight.engines[&to].pressed == Some(true) {
+                gateway.held[tier as usize] += threads;
+            }
             self.send(now, id, to, tier, out);
             self.draws += 1;
-            let gateway = &mut gateways[self.engines[&to].kind];
             gateway.small += f64::from(tier == Tier::Small);
             gateway.medium += f64::from(tier == Tier::Medium);
             fired = true;
--- a/src/state.rs
+++ b/src/state.rs
@@ -90,13 +90,18 @@
     pub slow: f64,
 }
 
-/// The figures behind one engine kind's thresholds.
+/// The figures behind one engine kind's thresholds, what this router has out there, and of that the threads
+/// of each tier at engines under pressure beside the cores that count there.
 pub struct Gateway {
     pub unblocked: f64,
     pub target: f64,
     pub engines: f64,
     pub small: f64,
     pub medium: f64,
+    pub memory: f64,
+    pub threads: f64,
+    pub held: [f64; 4],
+    pub pool: f64,
 }
 
 impl Learned {
