--- a/src/logic.rs
+++ b/src/logic.rs
@@ -512,7 +512,7 @@
         }
     }
 
-    /// Parts of memory and cores in use at an engine once it has the task: as last told, with the router's
+    /// Part of memory, and the sum of it and of cores, in use at an engine once it has the task: as last told, with the router's
     /// own hops that a report may not show yet on top, or by its own hops there and the other routers' ones,
     /// as many as its share tells, spread evenly.
     fn load(&self, id: EngineId, task: &Task, now: Duration, share: f64, kind: &Gateway) -> (f64, f64) {
@@ -523,7 +523,11 @@
         let others = (1.0 / share - 1.0) / kind.engines;
         let own = self.own(id, Duration::ZERO);
         let guess = parts(add(own, (kind.memory * others, kind.threads * others)));
-        let Some((at, signals)) = &engine.report else { return guess };
+        let Some((at, signals)) = &engine.report else {
+            // Nothing tells them apart but this router's own hops: others like what it likes.
+            let alike = parts(own);
+            return (guess.0, (alike.0 + alike.1) / share);
+        };
         let (unseen, unseen_busy) = parts(self.own(id, at.saturating_sub(self.beat())));
         // Guards against engines that answer nothing more and so look as free as this router's part.
         let age = seconds(now - *at) / seconds(self.beat() * 4);
@@ -531,7 +535,8 @@
             Some(told) => (told + unseen + guess * age) / (1.0 + age),
             None => guess,
         };
-        (fade(signals.memory, unseen, guess.0), fade(signals.busy, unseen_busy, guess.1))
+        let memory = fade(signals.memory, unseen, guess.0);
+        (memory, memory + fade(signals.busy, unseen_busy, guess.1))
     }
 
     /// Revenue for a second of the usual work.
@@ -791,10 +796,10 @@
                     continue;
                 }
                 let gateway = &gateways[engine.kind];
-                let (memory_in_use, busy) = self.load(to, task, now, sight.share, gateway);
+                let (memory_in_use, crowd) = self.load(to, task, now, sight.share, gateway);
                 let fits = memory_in_use <= 1.0 || tier <= Tier::Small || gateway.threads == 0.0;
                 if fits && self.slot_open(engine, tier, threads, (seen, gateway, sight.share)) {
-                    free.push((1.0 - (memory_in_use + busy) / 2.0 * seen.slow, to, tier));
+                    free.push((1.0 - crowd / 2.0 * seen.slow, to, tier));
                 } else {
                     full.push((engine.kind, tier));
                 }
