--- a/src/logic.rs
+++ b/src/logic.rs
@@ -354,9 +354,8 @@
         let mut engines: BTreeMap<EngineId, Seen> = engines.map(|(id, e)| (*id, see(e))).collect();
         // Where nothing recent tells of an engine, as for most when routers are many, the others tell.
         let told = engines.values().filter_map(|seen| seen.pressed).map(|p| f64::from(u8::from(p)));
-        if mean(told).is_some_and(|part| part > 0.5) {
-            engines.values_mut().for_each(|seen| seen.pressed = seen.pressed.or(Some(true)));
-        }
+        let most = mean(told).map(|part| part > 0.5);
+        engines.values_mut().for_each(|seen| seen.pressed = seen.pressed.or(most));
         Sight { runs, share: self.share(), engines }
     }
 
@@ -801,7 +800,9 @@
                 }
                 let gateway = &gateways[engine.kind];
                 let (memory_in_use, crowd) = self.load(to, task, now, sight.share, gateway);
-                let fits = memory_in_use <= 1.0 || tier <= Tier::Small || gateway.threads == 0.0;
+                // Where no memory is reported, calm engines tell that the share is larger than it was taken for.
+                let calm = engine.report.is_none() && seen.pressed == Some(false);
+                let fits = memory_in_use <= 1.0 || tier <= Tier::Small || calm || gateway.threads == 0.0;
                 if fits && self.slot_open(engine, tier, threads, (seen, gateway, sight.share)) {
                     free.push((1.0 - crowd / 2.0 * seen.slow, to, tier));
                 } else {
