--- a/src/logic.rs
+++ b/src/logic.rs
@@ -354,8 +354,9 @@
         let mut engines: BTreeMap<EngineId, Seen> = engines.map(|(id, e)| (*id, see(e))).collect();
         // Where nothing recent tells of an engine, as for most when routers are many, the others tell.
         let told = engines.values().filter_map(|seen| seen.pressed).map(|p| f64::from(u8::from(p)));
-        let most = mean(told).map(|part| part > 0.5);
-        engines.values_mut().for_each(|seen| seen.pressed = seen.pressed.or(most));
+        if mean(told).is_some_and(|part| part > 0.5) {
+            engines.values_mut().for_each(|seen| seen.pressed = seen.pressed.or(Some(true)));
+        }
         Sight { runs, share: self.share(), engines }
     }
 
@@ -372,7 +373,7 @@
             Some(false) => 1.0,
             None => 0.0,
         };
-        let calm = mean(engines().map(|(id, _)| mood(id))).unwrap_or(0.0);
+        let swing = 1.0 + mean(engines().map(|(id, _)| mood(id))).unwrap_or(0.0) / 2.0;
         let count = |tier| {
             let hops = engines().flat_map(|(_, engine)| &engine.out);
             hops.filter(|(task, hop)| self.tasks[task].hops[*hop].tier == tier).count() as f64
@@ -386,7 +387,8 @@
             pool: pressed().map(|(id, _)| seen[id].ease * cores).sum(),
             held: [Tier::Unblocked, Tier::Small, Tier::Medium, Tier::Largest].map(held),
             unblocked: memory_mb / cores * UNBLOCKED_PART,
-            target: memory_mb * share * TARGET_PART * (1.0 + calm / 2.0),
+            target: memory_mb * share * TARGET_PART * swing,
+            swing,
             engines: engines().count().max(1) as f64,
             small: count(Tier::Small),
             medium: count(Tier::Medium),
@@ -800,9 +802,8 @@
                 }
                 let gateway = &gateways[engine.kind];
                 let (memory_in_use, crowd) = self.load(to, task, now, sight.share, gateway);
-                // Where no memory is reported, calm engines tell that the share is larger than it was taken for.
-                let calm = engine.report.is_none() && seen.pressed == Some(false);
-                let fits = memory_in_use <= 1.0 || tier <= Tier::Small || calm || gateway.threads == 0.0;
+                let most = if engine.report.is_some() { 1.0 } else { gateway.swing };
+                let fits = memory_in_use <= most || tier <= Tier::Small || gateway.threads == 0.0;
                 if fits && self.slot_open(engine, tier, threads, (seen, gateway, sight.share)) {
                     free.push((1.0 - crowd / 2.0 * seen.slow, to, tier));
                 } else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -95,6 +95,7 @@
 pub struct Gateway {
     pub unblocked: f64,
     pub target: f64,
+    pub swing: f64,
     pub engines: f64,
     pub small: f64,
     pub medium: f64,
