--- a/src/logic.rs
+++ b/src/logic.rs
@@ -802,7 +802,7 @@
                 }
                 let gateway = &gateways[engine.kind];
                 let (memory_in_use, crowd) = self.load(to, task, now, sight.share, gateway);
-                let most = if engine.report.is_some() { 1.0 } else { gateway.swing };
+                let most = if engine.report.is_some() { 1.0 } else { gateway.swing.min(1.0) };
                 let fits = memory_in_use <= most || tier <= Tier::Small || gateway.threads == 0.0;
                 if fits && self.slot_open(engine, tier, threads, (seen, gateway, sight.share)) {
                     free.push((1.0 - crowd / 2.0 * seen.slow, to, tier));
