--- a/src/logic.rs
+++ b/src/logic.rs
@@ -417,9 +417,11 @@
         seconds(now.saturating_sub(engine.heard.max(oldest))) / due.max(seconds(self.beat()))
     }
 
-    /// Guards against engines that fail fast or are gone: they look free.
+    /// Guards against engines that fail fast or are gone: they look free. What goes on being bad is believed
+    /// for longer, since with many routers each one's own trial adds up.
     fn failing(&self, engine: &Engine, now: Duration) -> bool {
-        let bad = || engine.bad.since(now.saturating_sub(self.beat() * 8));
+        let in_a_row = engine.bad.since(Duration::ZERO).take_while(|bad| *bad > 0.0).count();
+        let bad = || engine.bad.since(now.saturating_sub(self.beat() * 4 * in_a_row.max(2) as u32));
         bad().sum::<f64>() >= 2.0 && mean(bad()).is_some_and(|part| part >= 0.3)
     }
 
@@ -782,8 +784,9 @@
             let open = |e: &Engine| self.allowed(task, e) && self.fits_cold(e, task, now, sight.share);
             let tried = |id: EngineId| task.hops.iter().any(|hop| hop.engine == id);
             let healthy = |e: EngineId| !sight.engines[&e].sick;
+            let pause = self.beat().div_f64(2.0 * sight.share).max(self.beat());
             let trickled =
-                |e: &Engine| e.out.is_empty() && e.sent.last().is_none_or(|(at, _)| at + self.beat() <= now);
+                |e: &Engine| e.out.is_empty() && e.sent.last().is_none_or(|(at, _)| at + pause <= now);
             let ready = self.engines.iter().map(|(id, e)| (*id, e)).filter(|(_, e)| open(e));
             let mut ready: Vec<(EngineId, &Engine)> = ready.collect();
             // When all look bad, serving goes on; else a sick engine gets a trickle.
