--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -249,6 +249,7 @@
         home: params.index("myZone")?,
         kinds: cores.zip(memory).map(|(c, m)| Kind { cores: number(c), memory_mb: number(m) }).collect(),
         largest_share: domain.number("largestShare")?,
+        cuts_grants: domain.text("whenShort").is_ok_and(|what| what == "cut"),
         heeds_priorities: domain.flag("lanesCount")?,
         note_every: domain.maybe_time("tellsEveryMs").filter(|every| !every.is_zero()),
         probes: caps.flag("probes")?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,8 @@
     pub kinds: Vec<Kind>,
     pub largest_share: f64,
     pub heeds_priorities: bool,
+    /// Whether a hop gets what is left where memory is short.
+    pub cuts_grants: bool,
     pub note_every: Option<Duration>,
     pub probes: bool,
     pub list_is_asked: bool,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -230,7 +230,12 @@
                     let left = seconds(now - hop_out.sent) * (1.0 - done).max(0.0) / done;
                     hop_out.finish = Some(now + span(left));
                 }
-                Notice::Spills(missing_mb) => hop_out.missing = hop_out.missing.max(missing_mb),
+                Notice::Spills(missing_mb) => {
+                    hop_out.missing = hop_out.missing.max(missing_mb);
+                    if self.fleet.cuts_grants {
+                        engine.refused = Some(now);
+                    }
+                }
                 Notice::WaitsForMemory => engine.refused = Some(now),
                 _ => {}
             }
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -80,6 +80,7 @@
             kinds: vec![Kind { cores: 8.0, memory_mb: 16000.0 }],
             largest_share: 0.5,
             heeds_priorities: false,
+            cuts_grants: false,
             note_every: Some(ms(500)),
             probes: false,
             list_is_asked: false,
