--- a/src/logic.rs
+++ b/src/logic.rs
@@ -811,7 +811,9 @@
                 let gateway = &gateways[engine.kind];
                 let (memory_in_use, crowd) = self.load(to, task, now, sight.share, gateway);
                 let most = if engine.report.is_some() { 1.0 } else { gateway.swing.min(1.0) };
-                let short = engine.refused.is_some_and(|at| at + self.beat() * 2 >= now);
+                // A shortage noted since the last report, as for most engines when routers are many.
+                let told = engine.report.as_ref().map_or(Duration::ZERO, |(at, _)| *at);
+                let short = engine.refused.is_some_and(|at| at > told && at + self.beat() * 2 >= now);
                 let fits = tier <= Tier::Small || gateway.threads == 0.0 || memory_in_use <= most && !short;
                 if fits && self.slot_open(engine, tier, threads, (seen, gateway, sight.share)) {
                     free.push((1.0 - crowd / 2.0 * seen.slow, to, tier));
