--- a/src/logic.rs
+++ b/src/logic.rs
@@ -691,14 +691,11 @@
     }
 
     /// One final answer before patience ends, and at once where no further hop is allowed.
-    fn answer_in_time(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
-        let pressed = sight.engines.values().filter(|seen| seen.pressed == Some(true)).count() * 2;
-        let pressed = pressed > sight.engines.len();
+    fn answer_in_time(&mut self, now: Duration, _: &Sight, out: &mut impl Outlet) -> bool {
         let hopeless = |router: &Self, task: &Task| {
             let late = now + router.margin() * 3 >= task.patience;
-            let again = !task.hops.is_empty();
-            let little = || (pressed || again) && router.earns_little_late(task, now);
-            late || again && !router.may_run_again(task, now) || little()
+            let again = || router.may_run_again(task, now) && !router.earns_little_late(task, now);
+            late || !task.hops.is_empty() && !again()
         };
         self.refuse(hopeless, out)
     }
