--- a/src/logic.rs
+++ b/src/logic.rs
@@ -207,11 +207,10 @@
                 engine.bad.push(now, 0.0);
             }
             HopEnd::Overloaded => engine.refused = Some(now),
-            // A lone reset is no lost machine: that breaks all hops there, or fails the next connect.
-            HopEnd::Failed | HopEnd::TimedOut | HopEnd::Broken => engine.bad.push(now, 1.0),
+            HopEnd::Failed | HopEnd::TimedOut => engine.bad.push(now, 1.0),
             // Guards against lost machines and halls: two marks, so that the first failed connect counts, and
             // cold from then on, since the list tells of a restart late.
-            HopEnd::Unreachable => {
+            HopEnd::Unreachable | HopEnd::Broken => {
                 (0..2).for_each(|_| engine.bad.push(now, 1.0));
                 engine.cold_since = Some(now);
             }
