--- a/src/logic.rs
+++ b/src/logic.rs
@@ -224,7 +224,8 @@
             && let Some(engine) = self.engines.get_mut(&hop_out.engine)
         {
             engine.heard = now;
-            hop_out.stands |= matches!(notice, Notice::WaitsForMemory | Notice::WaitsForLoad);
+            hop_out.stands |= notice == Notice::WaitsForLoad;
+            hop_out.waits |= notice == Notice::WaitsForMemory;
             match notice {
                 Notice::Done(done) if done > 0.0 => {
                     let left = seconds(now - hop_out.sent) * (1.0 - done).max(0.0) / done;
@@ -359,10 +360,11 @@
         let mut engines: BTreeMap<EngineId, Seen> = engines.map(|(id, e)| (*id, see(e))).collect();
         // Where nothing recent tells of an engine, as for most when routers are many, the others tell.
         let told = engines.values().filter_map(|seen| seen.pressed).map(|p| f64::from(u8::from(p)));
-        if mean(told).is_some_and(|part| part > 0.5) {
+        let strained = mean(told).is_some_and(|part| part > 0.5);
+        if strained {
             engines.values_mut().for_each(|seen| seen.pressed = seen.pressed.or(Some(true)));
         }
-        Sight { runs, share: self.share(), engines }
+        Sight { runs, share: self.share(), engines, strained }
     }
 
     fn gateways(&self, sight: &Sight) -> Vec<Gateway> {
@@ -641,6 +643,7 @@
             end: None,
             cancelled: false,
             stands: false,
+            waits: false,
             missing: 0.0,
             finish: None,
         });
@@ -740,7 +743,9 @@
             let (hop, run) = (&task.hops[0], sight.runs[task.traffic] * task.ideal);
             let left = hop.finish.map(|finish| seconds(finish.saturating_sub(now)));
             let unseen = self.fleet.note_every.is_none();
+            // With most engines under pressure, a wait for memory is no better elsewhere.
             hop.stands
+                || hop.waits && !sight.strained
                 || left.is_some_and(|left| left > BAD_PLAN * run + seconds(self.fleet.tick))
                 || unseen && seconds(now - hop.sent) > BAD_PLAN_UNSEEN * run + slack
         };
