--- a/src/logic.rs
+++ b/src/logic.rs
@@ -316,9 +316,14 @@
         self.fleet.tick * 4
     }
 
-    fn grant(&self, task: &Task, kind: usize) -> f64 {
-        let most = self.fleet.largest_share * self.fleet.kinds[kind].memory_mb;
-        (task.memory.max(task.told_memory.unwrap_or(0.0)) * GRANT).min(most)
+    /// At least the engine's own choice, but where memory was short lately and bills correct the estimate, no
+    /// more than that: what a hop holds beyond its need keeps others waiting.
+    fn grant(&self, task: &Task, engine: &Engine, now: Duration) -> f64 {
+        let most = self.fleet.largest_share * self.fleet.kinds[engine.kind].memory_mb;
+        let short = engine.refused.is_some_and(|at| at + self.beat() * 8 >= now);
+        let billed = self.learned[task.traffic].memories.mean().is_some();
+        let own_choice = task.told_memory.filter(|_| !(short && billed)).unwrap_or(0.0);
+        (task.memory.max(own_choice) * GRANT).min(most)
     }
 
     /// This router's part of the fleet's traffic: its part of the memory that engines report granted, else an
@@ -528,7 +533,7 @@
     fn load(&self, id: EngineId, task: &Task, now: Duration, share: f64, kind: &Gateway) -> (f64, f64) {
         let engine = &self.engines[&id];
         let Kind { cores, memory_mb } = self.fleet.kinds[engine.kind];
-        let (grant, threads) = (self.grant(task, engine.kind), self.traffic[task.traffic].threads);
+        let (grant, threads) = (self.grant(task, engine, now), self.traffic[task.traffic].threads);
         let parts = |(own, own_threads)| ((own + grant) / memory_mb, (own_threads + threads) / cores);
         let others = (1.0 / share - 1.0) / kind.engines;
         let own = self.own(id, Duration::ZERO);
@@ -624,7 +629,7 @@
     fn send(&mut self, now: Duration, id: TaskId, to: EngineId, tier: Tier, out: &mut impl Outlet) {
         let task = &self.tasks[&id];
         let engine = &self.engines[&to];
-        let grant = self.grant(task, engine.kind);
+        let grant = self.grant(task, engine, now);
         let usual = self.usual_cost(task.traffic);
         out.terms(id, grant.round(), self.priority(task.traffic));
         out.send(id, to, task.patience.saturating_sub(self.margin()));
