--- a/src/logic.rs
+++ b/src/logic.rs
@@ -224,8 +224,7 @@
             && let Some(engine) = self.engines.get_mut(&hop_out.engine)
         {
             engine.heard = now;
-            hop_out.stands |= notice == Notice::WaitsForLoad;
-            hop_out.waits |= notice == Notice::WaitsForMemory;
+            hop_out.stands |= matches!(notice, Notice::WaitsForMemory | Notice::WaitsForLoad);
             match notice {
                 Notice::Done(done) if done > 0.0 => {
                     let left = seconds(now - hop_out.sent) * (1.0 - done).max(0.0) / done;
@@ -316,14 +315,9 @@
         self.fleet.tick * 4
     }
 
-    /// At least the engine's own choice, but where memory was short lately and bills correct the estimate, no
-    /// more than that: what a hop holds beyond its need keeps others waiting.
-    fn grant(&self, task: &Task, engine: &Engine, now: Duration) -> f64 {
-        let most = self.fleet.largest_share * self.fleet.kinds[engine.kind].memory_mb;
-        let short = engine.refused.is_some_and(|at| at + self.beat() * 8 >= now);
-        let billed = self.learned[task.traffic].memories.mean().is_some();
-        let own_choice = task.told_memory.filter(|_| !(short && billed)).unwrap_or(0.0);
-        (task.memory.max(own_choice) * GRANT).min(most)
+    fn grant(&self, task: &Task, kind: usize) -> f64 {
+        let most = self.fleet.largest_share * self.fleet.kinds[kind].memory_mb;
+        (task.memory.max(task.told_memory.unwrap_or(0.0)) * GRANT).min(most)
     }
 
     /// This router's part of the fleet's traffic: its part of the memory that engines report granted, else an
@@ -365,11 +359,10 @@
         let mut engines: BTreeMap<EngineId, Seen> = engines.map(|(id, e)| (*id, see(e))).collect();
         // Where nothing recent tells of an engine, as for most when routers are many, the others tell.
         let told = engines.values().filter_map(|seen| seen.pressed).map(|p| f64::from(u8::from(p)));
-        let strained = mean(told).is_some_and(|part| part > 0.5);
-        if strained {
+        if mean(told).is_some_and(|part| part > 0.5) {
             engines.values_mut().for_each(|seen| seen.pressed = seen.pressed.or(Some(true)));
         }
-        Sight { runs, share: self.share(), engines, strained }
+        Sight { runs, share: self.share(), engines }
     }
 
     fn gateways(&self, sight: &Sight) -> Vec<Gateway> {
@@ -533,7 +526,7 @@
     fn load(&self, id: EngineId, task: &Task, now: Duration, share: f64, kind: &Gateway) -> (f64, f64) {
         let engine = &self.engines[&id];
         let Kind { cores, memory_mb } = self.fleet.kinds[engine.kind];
-        let (grant, threads) = (self.grant(task, engine, now), self.traffic[task.traffic].threads);
+        let (grant, threads) = (self.grant(task, engine.kind), self.traffic[task.traffic].threads);
         let parts = |(own, own_threads)| ((own + grant) / memory_mb, (own_threads + threads) / cores);
         let others = (1.0 / share - 1.0) / kind.engines;
         let own = self.own(id, Duration::ZERO);
@@ -629,7 +622,7 @@
     fn send(&mut self, now: Duration, id: TaskId, to: EngineId, tier: Tier, out: &mut impl Outlet) {
         let task = &self.tasks[&id];
         let engine = &self.engines[&to];
-        let grant = self.grant(task, engine, now);
+        let grant = self.grant(task, engine.kind);
         let usual = self.usual_cost(task.traffic);
         out.terms(id, grant.round(), self.priority(task.traffic));
         out.send(id, to, task.patience.saturating_sub(self.margin()));
@@ -648,7 +641,6 @@
             end: None,
             cancelled: false,
             stands: false,
-            waits: false,
             missing: 0.0,
             finish: None,
         });
@@ -748,9 +740,7 @@
             let (hop, run) = (&task.hops[0], sight.runs[task.traffic] * task.ideal);
             let left = hop.finish.map(|finish| seconds(finish.saturating_sub(now)));
             let unseen = self.fleet.note_every.is_none();
-            // With most engines under pressure, a wait for memory is no better elsewhere.
             hop.stands
-                || hop.waits && !sight.strained
                 || left.is_some_and(|left| left > BAD_PLAN * run + seconds(self.fleet.tick))
                 || unseen && seconds(now - hop.sent) > BAD_PLAN_UNSEEN * run + slack
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,7 +36,6 @@
     pub end: Option<HopEnd>,
     pub cancelled: bool,
     pub stands: bool,
-    pub waits: bool,
     pub missing: f64,
     pub finish: Option<Duration>,
 }
@@ -76,12 +75,11 @@
 }
 
 /// What one round of the rules sees: run over that on an idle engine, by traffic type; this router's
-/// share; the engines; whether most of these that tell are under pressure.
+/// share; the engines.
 pub struct Sight {
     pub runs: Vec<f64>,
     pub share: f64,
     pub engines: BTreeMap<EngineId, Seen>,
-    pub strained: bool,
 }
 
 pub struct Seen {
