--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,7 +2,7 @@
 //! has what goes in and the `Outlet` that answers come out of. After each input the rules listed in `settle`
 //! run in their order until none fires.
 
-use crate::recent::{Recent, mean, quantile};
+use crate::recent::{Recent, add, mean, quantile, seconds, span};
 use crate::state::{Engine, Gateway, Hop, Learned, Line, Seen, Sight, Task, Tier};
 use crate::*;
 use std::collections::hash_map::DefaultHasher;
@@ -86,18 +86,6 @@
     draws: u64,
 }
 
-fn seconds(time: Duration) -> f64 {
-    time.as_secs_f64()
-}
-
-fn add(a: (f64, f64), b: (f64, f64)) -> (f64, f64) {
-    (a.0 + b.0, a.1 + b.1)
-}
-
-fn span(seconds: f64) -> Duration {
-    Duration::from_micros((seconds * 1e6).clamp(0.0, 1e12) as u64)
-}
-
 /// One rule: a condition and an effect; tells whether it fired.
 type Rule<O> = fn(&mut Router, Duration, &Sight, &mut O) -> bool;
 
@@ -230,15 +218,13 @@
                     let left = seconds(now - hop_out.sent) * (1.0 - done).max(0.0) / done;
                     hop_out.finish = Some(now + span(left));
                 }
-                Notice::Spills(missing_mb) => {
-                    hop_out.missing = hop_out.missing.max(missing_mb);
-                    if self.fleet.cuts_grants {
-                        engine.refused = Some(now);
-                    }
-                }
-                Notice::WaitsForMemory => engine.refused = Some(now),
+                Notice::Spills(missing_mb) => hop_out.missing = hop_out.missing.max(missing_mb),
                 _ => {}
             }
+            let spills = self.fleet.cuts_grants && matches!(notice, Notice::Spills(_));
+            if spills || notice == Notice::WaitsForMemory {
+                engine.refused = Some(now);
+            }
         }
         self.settle(now, out);
     }
@@ -257,13 +243,8 @@
             let engine = self.engines.entry(row.engine).or_insert_with(new);
             engine.ready = row.ready;
             if row.launched.is_some() && row.launched != engine.launched {
-                engine.launched = row.launched;
-                engine.cold_since = row.launched;
-                engine.groups.clear();
-                engine.stretches.clear();
-                engine.bad.clear();
-                engine.report = None;
-                engine.heard = now;
+                let before = std::mem::replace(engine, new());
+                (engine.out, engine.sent) = (before.out, before.sent);
             }
         }
         self.settle(now, out);
@@ -633,17 +614,7 @@
         let hops = &mut self.tasks.get_mut(&id).expect("a held task").hops;
         let engine = self.engines.get_mut(&to).expect("a listed engine");
         engine.out.push((id, hops.len()));
-        hops.push(Hop {
-            engine: to,
-            sent: now,
-            tier,
-            grant,
-            end: None,
-            cancelled: false,
-            stands: false,
-            missing: 0.0,
-            finish: None,
-        });
+        hops.push(Hop::sent(now, to, tier, grant));
         engine.sent.push(now, usual);
         if let Some(group) = group {
             engine.groups.retain(|g| *g != group);
--- a/src/recent.rs
+++ b/src/recent.rs
@@ -20,10 +20,6 @@
         self.samples.push_back((now, value));
     }
 
-    pub fn clear(&mut self) {
-        self.samples.clear();
-    }
-
     pub fn last(&self) -> Option<(Duration, f64)> {
         self.samples.back().copied()
     }
@@ -57,3 +53,15 @@
     let (_, value, _) = values.select_nth_unstable_by((last as f64 * share).round() as usize, f64::total_cmp);
     Some(*value)
 }
+
+pub fn add(a: (f64, f64), b: (f64, f64)) -> (f64, f64) {
+    (a.0 + b.0, a.1 + b.1)
+}
+
+pub fn seconds(time: Duration) -> f64 {
+    time.as_secs_f64()
+}
+
+pub fn span(seconds: f64) -> Duration {
+    Duration::from_micros((seconds * 1e6).clamp(0.0, 1e12) as u64)
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -141,6 +141,13 @@
     }
 }
 
+impl Hop {
+    pub fn sent(now: Duration, engine: EngineId, tier: Tier, grant: f64) -> Self {
+        let (end, finish) = (None, None);
+        Self { engine, sent: now, tier, grant, end, cancelled: false, stands: false, missing: 0.0, finish }
+    }
+}
+
 impl Task {
     pub fn out(&self) -> bool {
         self.hops.last().is_some_and(|hop| hop.end.is_none())
