--- a/src/logic.rs
+++ b/src/logic.rs
@@ -462,17 +462,20 @@
     }
 
     /// Guards cold engines: this router's part of what a starting engine takes in any window, by the usual
-    /// work of the traffic type. Harms by keeping costly types away from a warming engine.
-    fn fits_cold(&self, engine: &Engine, task: &Task, now: Duration, share: f64) -> bool {
+    /// work of the traffic type. With many routers that is under one task: then one in a window as much longer,
+    /// from a point in it that chance sets, so that the parts still add up, to half of the whole at most.
+    fn fits_cold(&self, id: EngineId, engine: &Engine, task: &Task, now: Duration, share: f64) -> bool {
         let age = engine.cold_since.map(|at| seconds(now.saturating_sub(at)) / seconds(self.duties.warm_up));
         let Some(warmth) = age.filter(|age| *age < 1.0) else { return true };
         let start = self.duties.start_capacity;
         let capacity = self.fleet.kinds[engine.kind].cores * CAPACITY * (start + (1.0 - start) * warmth);
-        let window = seconds(self.duties.fall);
-        let budget = self.duties.overload_factor * capacity * window * share;
+        let budget = self.duties.overload_factor * capacity * seconds(self.duties.fall) * share;
         let usual = self.usual_cost(task.traffic).max(seconds(self.fleet.tick));
-        let sent: f64 = engine.sent.since(now.saturating_sub(self.duties.fall)).sum();
-        sent + usual <= budget
+        let times = if usual > budget { 2.0 * usual / budget } else { 1.0 };
+        let window = self.duties.fall.mul_f64(times.min(1e6));
+        let sent: f64 = engine.sent.since(now.saturating_sub(window)).sum();
+        let part = self.chance(id, engine.listed.as_micros() as u64) as f64 / u64::MAX as f64;
+        sent + usual <= budget * times && (times == 1.0 || now >= engine.listed + window.mul_f64(part))
     }
 
     fn threads_out(&self, engine: &Engine, tier: Tier) -> f64 {
@@ -564,9 +567,9 @@
         !task.over && time && self.may_run_again(task, now)
     }
 
-    fn chance(&self, engine: EngineId) -> u64 {
+    fn chance(&self, engine: EngineId, draw: u64) -> u64 {
         let mut hasher = DefaultHasher::new();
-        (self.fleet.seed, self.draws, engine).hash(&mut hasher);
+        (self.fleet.seed, draw, engine).hash(&mut hasher);
         hasher.finish()
     }
 
@@ -757,13 +760,14 @@
             if tiers.all(|slot| blocked.contains(&slot)) {
                 continue;
             }
-            let open = |e: &Engine| self.allowed(task, e) && self.fits_cold(e, task, now, sight.share);
+            let open =
+                |id, e: &Engine| self.allowed(task, e) && self.fits_cold(id, e, task, now, sight.share);
             let tried = |id: EngineId| task.hops.iter().any(|hop| hop.engine == id);
             let healthy = |e: EngineId| !sight.engines[&e].sick;
             let pause = self.beat().div_f64(2.0 * sight.share).max(self.beat());
             let trickled =
                 |e: &Engine| e.out.is_empty() && e.sent.last().is_none_or(|(at, _)| at + pause <= now);
-            let ready = self.engines.iter().map(|(id, e)| (*id, e)).filter(|(_, e)| open(e));
+            let ready = self.engines.iter().map(|(id, e)| (*id, e)).filter(|(id, e)| open(*id, e));
             let mut ready: Vec<(EngineId, &Engine)> = ready.collect();
             // When all look bad, serving goes on; else a sick engine gets a trickle.
             if ready.iter().any(|(id, _)| healthy(*id)) {
@@ -808,7 +812,7 @@
                 let warm = task.group.is_some_and(|group| engine.groups.contains(&group));
                 (!held, warm, home_at_ease && engine.location == self.fleet.home)
             };
-            let liked = free.iter().max_by_key(|(_, to, _)| (liking(*to), self.chance(*to)));
+            let liked = free.iter().max_by_key(|(_, to, _)| (liking(*to), self.chance(*to, self.draws)));
             let Some((_, to, tier)) = liked.copied() else { continue };
             let gateway = &mut gateways[self.engines[&to].kind];
             gateway.threads += threads;
--- a/src/state.rs
+++ b/src/state.rs
@@ -46,6 +46,8 @@
     pub cell: u64,
     pub ready: bool,
     pub launched: Option<Duration>,
+    /// When this router heard of that launch.
+    pub listed: Duration,
     pub cold_since: Option<Duration>,
     pub out: Vec<(TaskId, usize)>,
     pub sent: Recent,
@@ -127,6 +129,7 @@
             cell: row.cell,
             ready: row.ready,
             launched: row.launched,
+            listed: now,
             cold_since: row.launched,
             out: Vec::new(),
             sent: Recent::keeping(samples * samples),
