--- a/src/logic.rs
+++ b/src/logic.rs
@@ -302,29 +302,12 @@
     }
 
     /// This router's part of the fleet's traffic: its part of the memory that engines report granted, else an
-    /// equal one that grows while it binds on calm engines.
+    /// equal one.
     fn share(&self) -> f64 {
         let equal = 1.0 / self.fleet.routers.max(1) as f64;
         self.shares.mean().map_or(equal, |seen| seen.clamp(equal / 4.0, 1.0))
     }
 
-    /// Guards against shifts of traffic that nothing reports: a bound by share that calm engines contradict
-    /// gives way by a tenth a beat; under pressure it returns twice as fast.
-    fn doubt_share(&mut self, now: Duration, sight: &Sight, bound: bool) {
-        let due = self.shares.last().is_none_or(|(at, _)| at + self.beat() <= now);
-        let equal = 1.0 / self.fleet.routers.max(1) as f64;
-        if due && self.engines.values().all(|engine| engine.report.is_none()) {
-            let calm = sight.engines.values().filter(|seen| seen.pressed == Some(false)).count();
-            let pressed = sight.engines.values().filter(|seen| seen.pressed == Some(true)).count();
-            if bound && calm > 2 * pressed {
-                self.shares = Recent::keeping(1);
-                self.shares.push(now, (sight.share * 1.1).min(1.0));
-            } else if pressed >= calm {
-                self.shares.push(now, (sight.share / 1.2).max(equal));
-            }
-        }
-    }
-
     /// MB and threads that this router has out at an engine, of hops sent since `from`.
     fn own(&self, id: EngineId, from: Duration) -> (f64, f64) {
         let out = self.engines.get(&id).into_iter().flat_map(|engine| &engine.out);
@@ -765,7 +748,7 @@
         let home_at_ease = quantile(home, 0.5).is_none_or(|run| run < (1.0 + PRESSED) / 2.0);
         let mut gateways = self.gateways(sight);
         let mut blocked: BTreeSet<(usize, Tier)> = BTreeSet::new();
-        let (mut fired, mut bound) = (false, false);
+        let mut fired = false;
         for id in held {
             let task = &self.tasks[&id];
             let again = task.hops.is_empty() || self.may_run_again(task, now) && self.hops_left(now) >= 1.0;
@@ -807,7 +790,6 @@
                 let told = engine.report.as_ref().map_or(Duration::ZERO, |(at, _)| *at);
                 let short = engine.refused.is_some_and(|at| at > told && at + self.beat() * 2 >= now);
                 let fits = tier <= Tier::Small || gateway.threads == 0.0 || memory_in_use <= most && !short;
-                bound |= !fits;
                 if fits && self.slot_open(engine, tier, threads, (seen, gateway, sight.share)) {
                     free.push((1.0 - crowd / 2.0 * seen.slow, to, tier));
                 } else {
@@ -843,7 +825,6 @@
             gateway.medium += f64::from(tier == Tier::Medium);
             fired = true;
         }
-        self.doubt_share(now, sight, bound);
         fired
     }
 
