--- a/src/state.rs
+++ b/src/state.rs
@@ -46,6 +46,8 @@
     pub cell: u64,
     pub ready: bool,
     pub launched: Option<Duration>,
+    /// When this router heard of that launch.
+    pub listed: Duration,
     pub cold_since: Option<Duration>,
     pub out: Vec<(TaskId, usize)>,
     pub sent: Recent,
@@ -127,6 +129,7 @@
             cell: row.cell,
             ready: row.ready,
             launched: row.launched,
+            listed: now,
             cold_since: row.launched,
             out: Vec::new(),
             sent: Recent::keeping(samples * samples),
@@ -141,6 +144,13 @@
     }
 }
 
+impl Hop {
+    pub fn sent(now: Duration, engine: EngineId, tier: Tier, grant: f64) -> Self {
+        let (end, finish) = (None, None);
+        Self { engine, sent: now, tier, grant, end, cancelled: false, stands: false, missing: 0.0, finish }
+    }
+}
+
 impl Task {
     pub fn out(&self) -> bool {
         self.hops.last().is_some_and(|hop| hop.end.is_none())
