--- a/src/logic.rs
+++ b/src/logic.rs
@@ -156,7 +156,7 @@
 
     pub fn hop_ended(&mut self, now: Duration, hop: Ended, out: &mut impl Outlet) {
         let Ended { task: id, hop, engine, end, took, bill, signals, over } = hop;
-        self.report(now, engine, signals);
+        self.report(now, engine, signals, id);
         let Some(task) = self.tasks.get_mut(&id) else { return self.settle(now, out) };
         task.over |= over;
         let (traffic, told_cost, told_memory) = (task.traffic, task.told_cost, task.told_memory);
@@ -263,7 +263,7 @@
         signals: Option<Signals>,
         out: &mut impl Outlet,
     ) {
-        self.report(now, engine, signals);
+        self.report(now, engine, signals, TaskId::MAX);
         if let Some(engine) = self.engines.get_mut(&engine).filter(|_| well) {
             engine.heard = now;
         }
@@ -274,14 +274,18 @@
         self.settle(now, out);
     }
 
-    fn report(&mut self, now: Duration, id: EngineId, signals: Option<Signals>) {
-        let (own_memory, _) = self.own(id, Duration::ZERO);
+    /// Takes a report in. What all this router's other hops hold, over what the fleet would with as much granted
+    /// everywhere, is a sample of the share: at one engine, those with a hop of its own would count too often.
+    fn report(&mut self, now: Duration, id: EngineId, signals: Option<Signals>, ended: TaskId) {
         let Some((signals, engine)) = signals.zip(self.engines.get_mut(&id)) else { return };
+        engine.report = Some((now, signals));
         if let Some(memory) = signals.memory.filter(|m| *m > 0.0) {
-            let all = memory * self.fleet.kinds[engine.kind].memory_mb;
-            self.shares.push(now, (own_memory / all).min(1.0));
+            let out = self.tasks.iter().filter(|(id, task)| **id != ended && task.out());
+            let own: f64 = out.map(|(_, task)| task.hops[task.hops.len() - 1].grant).sum();
+            let ready = self.engines.values().filter(|engine| engine.ready);
+            let all: f64 = ready.map(|engine| self.fleet.kinds[engine.kind].memory_mb).sum();
+            self.shares.push(now, (own / (memory * all.max(1.0))).min(1.0));
         }
-        engine.report = Some((now, signals));
     }
 
     // ---- figures ----
