--- a/src/logic.rs
+++ b/src/logic.rs
@@ -312,26 +312,6 @@
         self.shares.mean().map_or(equal, |seen| seen.clamp(equal / 4.0, 1.0))
     }
 
-    /// Guards against shifts of traffic that nothing reports: engines that stay calm though the share tells of
-    /// memory near full prove it too small. It grows by a tenth a beat, and returns faster under pressure.
-    fn doubt_share(&mut self, now: Duration, sight: &Sight, gateways: &[Gateway]) {
-        let reported = self.engines.values().any(|engine| engine.report.is_some());
-        if reported || self.shares.last().is_some_and(|(at, _)| at + self.beat() > now) {
-            return;
-        }
-        let equal = 1.0 / self.fleet.routers.max(1) as f64;
-        let tell = |p| sight.engines.values().filter(|seen| seen.pressed == Some(p)).count();
-        let mut kinds = gateways.iter().zip(&self.fleet.kinds);
-        let full = kinds.any(|(g, kind)| g.memory > 0.75 * sight.share * kind.memory_mb * g.engines);
-        let share = match (tell(false), tell(true)) {
-            (calm, pressed) if pressed * 2 >= calm => (sight.share / 1.2).max(equal),
-            _ if full => (sight.share * 1.1).min(1.0),
-            _ => return,
-        };
-        self.shares = Recent::keeping(1);
-        self.shares.push(now, share);
-    }
-
     /// MB and threads that this router has out at an engine, of hops sent since `from`.
     fn own(&self, id: EngineId, from: Duration) -> (f64, f64) {
         let out = self.engines.get(&id).into_iter().flat_map(|engine| &engine.out);
@@ -771,7 +751,6 @@
         let home = at_home.flat_map(|engine| engine.stretches.since(now.saturating_sub(self.beat() * 4)));
         let home_at_ease = quantile(home, 0.5).is_none_or(|run| run < (1.0 + PRESSED) / 2.0);
         let mut gateways = self.gateways(sight);
-        self.doubt_share(now, sight, &gateways);
         let mut blocked: BTreeSet<(usize, Tier)> = BTreeSet::new();
         let mut fired = false;
         for id in held {
