--- a/src/logic.rs
+++ b/src/logic.rs
@@ -633,10 +633,9 @@
     // ---- rules ----
 
     fn settle<O: Outlet>(&mut self, now: Duration, out: &mut O) {
-        let rules: [Rule<O>; 9] = [
+        let rules: [Rule<O>; 8] = [
             Self::forget_what_is_over,
             Self::answer_in_time,
-            Self::probe_the_quiet,
             Self::cancel_on_silent_engines,
             Self::cancel_bad_plans,
             Self::drop_what_is_late,
@@ -678,20 +677,6 @@
         self.refuse(hopeless, out)
     }
 
-    /// Tells a slow engine from a silent one, where probes may: an answer counts as a sign of life.
-    fn probe_the_quiet(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
-        let soon = now.saturating_sub(self.beat() / 2);
-        let quiet = sight.engines.iter().filter(|(_, seen)| self.fleet.probes && seen.silence >= 0.5);
-        for (id, _) in quiet {
-            let engine = self.engines.get_mut(id).expect("a seen engine");
-            if engine.probed.is_none_or(|at| at <= soon) {
-                engine.probed = Some(now);
-                out.probe(*id);
-            }
-        }
-        false
-    }
-
     /// Guards against engines that take work and answer nothing: takes hops back where a repeat is allowed.
     fn cancel_on_silent_engines(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
         let mut fired = false;
