--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -82,9 +82,6 @@
     fn wake_after(&mut self, wait: Duration) {
         self.write(json!({"op": "AFTER", "offsetMs": to_ms(wait), "keyBack": 0}));
     }
-    fn probe(&mut self, engine: EngineId) {
-        self.write(json!({"op": "TOUCH", "engine": self.names.engines.names[engine]}));
-    }
     fn watch(&mut self) {
         self.write(json!({"op": "SUBSCRIBE", "on": true}));
     }
@@ -184,14 +181,8 @@
                     router.client_left(now, task, &mut Writer { who: *who, now, names, reply });
                 }
             }
-            "PROBE_DONE" => {
-                let engine = names.engines.number(line.text("engine")?);
-                let well = hop_end(line.text("result")?)? == HopEnd::Succeeded;
-                let signals = signals(reported, line);
-                router.probed(now, engine, well, signals, &mut Writer { who: *who, now, names, reply });
-            }
             "BELL" => router.wake(now, &mut Writer { who: *who, now, names, reply }),
-            "INBOX" | "STARTED" => {}
+            "INBOX" | "PROBE_DONE" | "STARTED" => {}
             _ => return Err(format!("unknown `op` {op}")),
         }
         Ok(())
@@ -239,7 +230,7 @@
 }
 
 fn fleet(seed: u64, params: Fields) -> Result<Fleet, Fault> {
-    let (caps, domain) = (params.part("caps")?, params.part("domain")?);
+    let domain = params.part("domain")?;
     let cores = domain.rows("kindCores")?.iter();
     let memory = domain.rows("sizeMb")?.iter();
     let number = |value: &Value| value.as_f64().unwrap_or(0.0);
@@ -252,7 +243,6 @@
         cuts_grants: domain.text("whenShort").is_ok_and(|what| what == "cut"),
         heeds_priorities: domain.flag("lanesCount")?,
         note_every: domain.maybe_time("tellsEveryMs").filter(|every| !every.is_zero()),
-        probes: caps.flag("probes")?,
         list_is_asked: params.text("discovery")? == "ask",
         tick: params.time("tickMs")?,
     })
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,8 +32,6 @@
     fn give_up(&mut self, task: TaskId);
     /// Asks for a [`Router::wake`] after `wait`.
     fn wake_after(&mut self, wait: Duration);
-    /// Asks an engine for a sign of life.
-    fn probe(&mut self, engine: EngineId);
     /// Asks for the changes of the engine list from now on.
     fn watch(&mut self);
 }
@@ -49,7 +47,6 @@
     /// Whether a hop gets what is left where memory is short.
     pub cuts_grants: bool,
     pub note_every: Option<Duration>,
-    pub probes: bool,
     pub list_is_asked: bool,
     pub tick: Duration,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -87,7 +87,7 @@
 }
 
 /// One rule: a condition and an effect; tells whether it fired.
-type Rule<O> = fn(&mut Router, Duration, &Sight, &mut O) -> bool;
+type Rule<O> = fn(&mut Router, Duration, &mut Sight, &mut O) -> bool;
 
 impl Router {
     pub fn new(fleet: Fleet, traffic: Vec<TrafficType>, duties: Duties) -> Self {
@@ -255,21 +255,6 @@
         self.settle(now, out);
     }
 
-    pub fn probed(
-        &mut self,
-        now: Duration,
-        engine: EngineId,
-        well: bool,
-        signals: Option<Signals>,
-        out: &mut impl Outlet,
-    ) {
-        self.report(now, engine, signals, TaskId::MAX);
-        if let Some(engine) = self.engines.get_mut(&engine).filter(|_| well) {
-            engine.heard = now;
-        }
-        self.settle(now, out);
-    }
-
     pub fn wake(&mut self, now: Duration, out: &mut impl Outlet) {
         self.settle(now, out);
     }
@@ -316,9 +301,8 @@
     fn own(&self, id: EngineId, from: Duration) -> (f64, f64) {
         let out = self.engines.get(&id).into_iter().flat_map(|engine| &engine.out);
         let hops = out.map(|(task, hop)| (&self.tasks[task].hops[*hop], self.tasks[task].traffic));
-        hops.filter(|(hop, _)| hop.sent >= from).fold((0.0, 0.0), |(memory, threads), (hop, traffic)| {
-            (memory + hop.grant, threads + self.traffic[traffic].threads)
-        })
+        let hops = hops.filter(|(hop, _)| hop.sent >= from);
+        hops.map(|(hop, traffic)| (hop.grant, self.traffic[traffic].threads)).fold((0.0, 0.0), add)
     }
 
     fn sight(&self, now: Duration) -> Sight {
@@ -343,15 +327,13 @@
         let engines = self.engines.iter().filter(|(_, e)| held || !e.out.is_empty());
         let mut engines: BTreeMap<EngineId, Seen> = engines.map(|(id, e)| (*id, see(e))).collect();
         // Where nothing recent tells of an engine, as for most when routers are many, the others tell.
-        let told = engines.values().filter_map(|seen| seen.pressed).map(|p| f64::from(u8::from(p)));
-        if mean(told).is_some_and(|part| part > 0.5) {
+        let told = |p| engines.values().filter(|seen| seen.pressed == Some(p)).count();
+        if told(true) > told(false) {
             engines.values_mut().for_each(|seen| seen.pressed = seen.pressed.or(Some(true)));
         }
-        Sight { runs, share: self.share(), engines }
-    }
-
-    fn gateways(&self, sight: &Sight) -> Vec<Gateway> {
-        (0..self.fleet.kinds.len()).map(|kind| self.gateway(kind, sight.share, &sight.engines)).collect()
+        let (share, kinds) = (self.share(), 0..if held { self.fleet.kinds.len() } else { 0 });
+        let gateways = kinds.map(|kind| self.gateway(kind, share, &engines)).collect();
+        Sight { runs, share, engines, gateways }
     }
 
     /// The target moves with the pressure that the kind's engines show, from half to 1.5 of its start.
@@ -407,8 +389,8 @@
         seconds(now.saturating_sub(engine.heard.max(oldest))) / due.max(seconds(self.beat()))
     }
 
-    /// Guards against engines that fail fast or are gone: they look free. What goes on being bad is believed
-    /// for longer, since with many routers each one's own trial adds up.
+    /// Guards against engines that fail fast or are gone: they look free. What goes on is believed for longer,
+    /// since the trials of many routers add up.
     fn failing(&self, engine: &Engine, now: Duration) -> bool {
         let in_a_row = engine.bad.since(Duration::ZERO).take_while(|bad| *bad > 0.0).count();
         let bad = || engine.bad.since(now.saturating_sub(self.beat() * 4 * in_a_row.max(2) as u32));
@@ -489,10 +471,9 @@
     }
 
     /// Whether the tier has a slot open at an engine: largest one at a time, the others bound under pressure.
-    /// Guards against surges and slow fleets, where the design's limits exceed what engines bear: they shrink
-    /// as latency rises. Harms by refusing tasks on an engine that is slow for its own reasons. Guards against
-    /// many routers, whose one query at each engine adds up: parts under one query are pooled over all engines
-    /// under pressure. Harms by sparing an engine that could bear more, when others are under pressure.
+    /// Guards against surges and slow fleets: limits shrink as latency rises. Harms an engine that is slow for
+    /// its own reasons. Guards against many routers, whose one query at each engine adds up: parts under one
+    /// query are pooled over the engines under pressure. Harms by sparing one of these that could bear more.
     fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, sight: (&Seen, &Gateway, f64)) -> bool {
         let (seen, gateway, share) = sight;
         let part = if tier == Tier::Small { SMALL_THREADS } else { MEDIUM_THREADS };
@@ -643,11 +624,11 @@
             Self::refuse_what_waits_in_vain,
             Self::stay_awake,
         ];
-        let sight = self.sight(now);
-        while rules.iter().any(|rule| rule(self, now, &sight, out)) {}
+        let mut sight = self.sight(now);
+        while rules.iter().any(|rule| rule(self, now, &mut sight, out)) {}
     }
 
-    fn forget_what_is_over(&mut self, now: Duration, _: &Sight, _: &mut impl Outlet) -> bool {
+    fn forget_what_is_over(&mut self, now: Duration, _: &mut Sight, _: &mut impl Outlet) -> bool {
         let over = |task: &Task| task.over && task.hops.iter().all(|hop| hop.end.is_some());
         let gone: BTreeSet<TaskId> = self.tasks.iter().filter(|(_, t)| over(t)).map(|(id, _)| *id).collect();
         self.tasks.retain(|id, _| !gone.contains(id));
@@ -668,7 +649,7 @@
     }
 
     /// One final answer before patience ends, and at once where no further hop is allowed.
-    fn answer_in_time(&mut self, now: Duration, _: &Sight, out: &mut impl Outlet) -> bool {
+    fn answer_in_time(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
         let hopeless = |router: &Self, task: &Task| {
             let late = now + router.margin() * 3 >= task.patience;
             let again = || router.may_run_again(task, now) && !router.earns_little_late(task, now);
@@ -678,7 +659,7 @@
     }
 
     /// Guards against engines that take work and answer nothing: takes hops back where a repeat is allowed.
-    fn cancel_on_silent_engines(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
+    fn cancel_on_silent_engines(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let mut fired = false;
         for (id, _) in sight.engines.iter().filter(|(_, seen)| seen.silence >= 1.5) {
             let hops = self.engines[id].out.iter().copied();
@@ -697,7 +678,7 @@
 
     /// Guards against hops that take many times their expected run while the estimate gives no cause: only a
     /// task's first hop, since a second one as slow shows a costly task.
-    fn cancel_bad_plans(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
+    fn cancel_bad_plans(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let slack = seconds(self.beat());
         let bad = |task: &Task| {
             let (hop, run) = (&task.hops[0], sight.runs[task.traffic] * task.ideal);
@@ -713,29 +694,26 @@
     }
 
     /// Under pressure, hops past their target whose type earns little when late make room for those in time.
-    fn drop_what_is_late(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
+    fn drop_what_is_late(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let pressed = |hop: &Hop| sight.engines[&hop.engine].pressed == Some(true);
-        let late = |task: &Task| {
-            !task.over
-                && task.out()
-                && task.hops.last().is_some_and(pressed)
-                && self.earns_little_late(task, now)
-        };
-        let hops = self.tasks.iter().filter(|(_, task)| late(task));
+        let hops = self.tasks.iter().filter(|(_, task)| !task.over && task.out());
+        let hops = hops.filter(|(_, task)| task.hops.last().is_some_and(pressed));
+        let hops = hops.filter(|(_, task)| self.earns_little_late(task, now));
         self.take_back(hops.map(|(id, task)| (*id, task.hops.len() - 1)).collect(), out)
     }
 
     /// The ordinary path: held tasks leave earliest first per tier, to the engine with most free room.
-    fn release(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
+    fn release(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let held = self.held();
         if held.is_empty() {
             return false;
         }
         // Guards against traffic that gathers in one location: home counts only while runs there are short.
         let at_home = self.engines.values().filter(|engine| engine.location == self.fleet.home);
-        let home = at_home.flat_map(|engine| engine.stretches.since(now.saturating_sub(self.beat() * 4)));
+        let lately = now.saturating_sub(self.beat() * 2);
+        let home = at_home.flat_map(|engine| engine.stretches.since(lately));
         let home_at_ease = quantile(home, 0.5).is_none_or(|run| run < (1.0 + PRESSED) / 2.0);
-        let mut gateways = self.gateways(sight);
+        let gateways = &mut sight.gateways;
         let mut blocked: BTreeSet<(usize, Tier)> = BTreeSet::new();
         let mut fired = false;
         for id in held {
@@ -776,8 +754,8 @@
                 let (memory_in_use, crowd) = self.load(to, task, now, sight.share, gateway);
                 let most = if engine.report.is_some() { 1.0 } else { gateway.swing.min(1.0) };
                 // A shortage noted since the last report, as for most engines when routers are many.
-                let told = engine.report.as_ref().map_or(Duration::ZERO, |(at, _)| *at);
-                let short = engine.refused.is_some_and(|at| at > told && at + self.beat() * 2 >= now);
+                let told = engine.report.map_or(Duration::ZERO, |(at, _)| at).max(lately);
+                let short = engine.refused.is_some_and(|at| at > told);
                 let fits = tier <= Tier::Small || gateway.threads == 0.0 || memory_in_use <= most && !short;
                 if fits && self.slot_open(engine, tier, threads, (seen, gateway, sight.share)) {
                     free.push((1.0 - crowd / 2.0 * seen.slow, to, tier));
@@ -803,8 +781,9 @@
             };
             let liked = free.iter().max_by_key(|(_, to, _)| (liking(*to), self.chance(*to, self.draws)));
             let Some((_, to, tier)) = liked.copied() else { continue };
-            let gateway = &mut gateways[self.engines[&to].kind];
-            gateway.threads += threads;
+            let kind = self.engines[&to].kind;
+            let (gateway, grant) = (&mut gateways[kind], self.grant(task, kind));
+            (gateway.memory, gateway.threads) = (gateway.memory + grant, gateway.threads + threads);
             if sight.engines[&to].pressed == Some(true) {
                 gateway.held[tier as usize] += threads;
             }
@@ -818,14 +797,10 @@
     }
 
     /// Refuses when the time left cannot cover a run, or after a time-out that grows by tier.
-    fn refuse_what_waits_in_vain(&mut self, now: Duration, sight: &Sight, out: &mut impl Outlet) -> bool {
-        if self.held().is_empty() {
-            return false;
-        }
-        let gateways = self.gateways(sight);
+    fn refuse_what_waits_in_vain(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let hopeless = |_: &Self, task: &Task| {
             let (run, memory) = (span(task.ideal * sight.runs[task.traffic]), task.tier_memory());
-            let tiers = gateways.iter().map(|gateway| gateway.tier(memory));
+            let tiers = sight.gateways.iter().map(|gateway| gateway.tier(memory));
             let hold = HOLD[tiers.min().unwrap_or(Tier::Largest) as usize];
             let time_out = task.arrived + task.target.saturating_sub(task.arrived).mul_f64(hold);
             now + run > task.target || now > time_out
@@ -833,7 +808,7 @@
         self.refuse(hopeless, out)
     }
 
-    fn stay_awake(&mut self, now: Duration, _: &Sight, out: &mut impl Outlet) -> bool {
+    fn stay_awake(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
         if self.fleet.list_is_asked && !self.watched {
             self.watched = true;
             out.watch();
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,7 +55,6 @@
     pub bad: Recent,
     pub heard: Duration,
     pub refused: Option<Duration>,
-    pub probed: Option<Duration>,
     pub report: Option<(Duration, Signals)>,
     pub groups: VecDeque<u64>,
 }
@@ -77,11 +76,12 @@
 }
 
 /// What one round of the rules sees: run over that on an idle engine, by traffic type; this router's
-/// share; the engines.
+/// share; the engines; the thresholds, kept up as tasks leave.
 pub struct Sight {
     pub runs: Vec<f64>,
     pub share: f64,
     pub engines: BTreeMap<EngineId, Seen>,
+    pub gateways: Vec<Gateway>,
 }
 
 pub struct Seen {
@@ -137,7 +137,6 @@
             bad: Recent::keeping(outcomes),
             heard: now,
             refused: None,
-            probed: None,
             report: None,
             groups: VecDeque::new(),
         }
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -35,9 +35,6 @@
         self.add(format_args!("give up task {task}"));
     }
     fn wake_after(&mut self, _: Duration) {}
-    fn probe(&mut self, engine: EngineId) {
-        self.add(format_args!("probe engine {engine}"));
-    }
     fn watch(&mut self) {
         self.add(format_args!("watch the list"));
     }
@@ -82,7 +79,6 @@
             heeds_priorities: false,
             cuts_grants: false,
             note_every: Some(ms(500)),
-            probes: false,
             list_is_asked: false,
             tick: ms(5),
         };
