--- a/src/logic.rs
+++ b/src/logic.rs
@@ -162,7 +162,7 @@
         let (traffic, told_cost, told_memory) = (task.traffic, task.told_cost, task.told_memory);
         let Some(ended) = task.hops.get_mut(hop) else { return self.settle(now, out) };
         ended.end = Some(end);
-        let Hop { sent, engine, grant, missing, .. } = *ended;
+        let Hop { sent, engine, .. } = *ended;
         let may_still_run = matches!(end, HopEnd::TimedOut | HopEnd::Broken | HopEnd::Withdrawn);
         if let (Some(key), Some(rest), true) = (task.key, self.duties.key_rest, may_still_run) {
             self.lines.entry(key).or_default().rest = Some((id, now + rest));
@@ -173,10 +173,6 @@
             told_memory.inspect(|told| learned.memory_ratios.push(now, bill.memory_mb / told));
             told_cost.inspect(|told| learned.cost_ratios.push(now, seconds(bill.cost) / told));
         }
-        // Unbilled, a spill tells the most that was needed; the median heeds it once most tasks spill.
-        if let (None, HopEnd::Succeeded, Some(told)) = (bill, end, told_memory) {
-            learned.memory_ratios.push(now, if missing > 0.0 { (grant + missing) / told } else { 1.0 });
-        }
         if told_cost.is_none() && end == HopEnd::Succeeded {
             let threads = self.traffic[traffic].threads;
             learned.costs.push(now, bill.map_or(seconds(took) * threads, |bill| seconds(bill.cost)));
@@ -218,7 +214,6 @@
                     let left = seconds(now - hop_out.sent) * (1.0 - done).max(0.0) / done;
                     hop_out.finish = Some(now + span(left));
                 }
-                Notice::Spills(missing_mb) => hop_out.missing = hop_out.missing.max(missing_mb),
                 _ => {}
             }
             let spills = self.fleet.cuts_grants && matches!(notice, Notice::Spills(_));
