--- a/src/logic.rs
+++ b/src/logic.rs
@@ -126,25 +126,25 @@
             Some(told) => told * learned.cost_ratios.median().unwrap_or(1.0),
             None => learned.costs.mean().unwrap_or(0.0),
         };
-        let mut task = Task {
+        let ideal = cost / traffic.threads.max(1.0);
+        let target = now + traffic.target + span(traffic.target_stretch * ideal);
+        let task = Task {
             traffic: arrival.traffic,
             key,
             told_cost: arrival.cost.map(seconds),
             told_memory: arrival.memory_mb,
-            ideal: cost / traffic.threads.max(1.0),
+            ideal,
             memory: match arrival.memory_mb {
                 Some(told) => told * learned.memory_ratios.median().unwrap_or(1.0),
                 None => learned.memories.mean().unwrap_or(0.0),
             },
             group: arrival.group,
             arrived: now,
-            target: now,
+            target: target.saturating_sub(spent).min(now + arrival.patience),
             patience: now + arrival.patience,
             over: false,
             hops: Vec::new(),
         };
-        let stretch = span(traffic.target_stretch * task.ideal);
-        task.target = (now + traffic.target + stretch).saturating_sub(spent).min(task.patience);
         arrival.cost.inspect(|_| learned.costs.push(now, cost));
         if let Some(key) = key {
             self.lines.entry(key).or_default().tasks.push_back(arrival.task);
@@ -162,7 +162,7 @@
         let (traffic, told_cost, told_memory) = (task.traffic, task.told_cost, task.told_memory);
         let Some(ended) = task.hops.get_mut(hop) else { return self.settle(now, out) };
         ended.end = Some(end);
-        let Hop { sent, engine, .. } = *ended;
+        let Hop { sent, engine, grant, missing, .. } = *ended;
         let may_still_run = matches!(end, HopEnd::TimedOut | HopEnd::Broken | HopEnd::Withdrawn);
         if let (Some(key), Some(rest), true) = (task.key, self.duties.key_rest, may_still_run) {
             self.lines.entry(key).or_default().rest = Some((id, now + rest));
@@ -173,6 +173,11 @@
             told_memory.inspect(|told| learned.memory_ratios.push(now, bill.memory_mb / told));
             told_cost.inspect(|told| learned.cost_ratios.push(now, seconds(bill.cost) / told));
         }
+        // Unbilled, a spill tells the most that was needed, unless a cut grant may be its cause.
+        if let (None, HopEnd::Succeeded, Some(told), false) = (bill, end, told_memory, self.fleet.cuts_grants)
+        {
+            learned.memory_ratios.push(now, if missing > 0.0 { (grant + missing) / told } else { 1.0 });
+        }
         if told_cost.is_none() && end == HopEnd::Succeeded {
             let threads = self.traffic[traffic].threads;
             learned.costs.push(now, bill.map_or(seconds(took) * threads, |bill| seconds(bill.cost)));
@@ -214,6 +219,7 @@
                     let left = seconds(now - hop_out.sent) * (1.0 - done).max(0.0) / done;
                     hop_out.finish = Some(now + span(left));
                 }
+                Notice::Spills(missing_mb) => hop_out.missing = hop_out.missing.max(missing_mb),
                 _ => {}
             }
             let spills = self.fleet.cuts_grants && matches!(notice, Notice::Spills(_));
@@ -599,11 +605,7 @@
         engine.out.push((id, hops.len()));
         hops.push(Hop::sent(now, to, tier, grant));
         engine.sent.push(now, usual);
-        if let Some(group) = group {
-            engine.groups.retain(|g| *g != group);
-            engine.groups.truncate(OUTCOMES - 1);
-            engine.groups.push_front(group);
-        }
+        engine.reads(group, OUTCOMES);
     }
 
     // ---- rules ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -141,6 +141,15 @@
             groups: VecDeque::new(),
         }
     }
+
+    /// Notes the group it reads, of which it keeps the last few.
+    pub fn reads(&mut self, group: Option<u64>, kept: usize) {
+        if let Some(group) = group {
+            self.groups.retain(|g| *g != group);
+            self.groups.truncate(kept - 1);
+            self.groups.push_front(group);
+        }
+    }
 }
 
 impl Hop {
