--- a/src/logic.rs
+++ b/src/logic.rs
@@ -705,11 +705,7 @@
         if held.is_empty() {
             return false;
         }
-        // Guards against traffic that gathers in one location: home counts only while runs there are short.
-        let at_home = self.engines.values().filter(|engine| engine.location == self.fleet.home);
         let lately = now.saturating_sub(self.beat() * 2);
-        let home = at_home.flat_map(|engine| engine.stretches.since(lately));
-        let home_at_ease = quantile(home, 0.5).is_none_or(|run| run < (1.0 + PRESSED) / 2.0);
         let gateways = &mut sight.gateways;
         let mut blocked: BTreeSet<(usize, Tier)> = BTreeSet::new();
         let mut fired = false;
@@ -774,7 +770,7 @@
                 let held = self.traffic[task.traffic].waits_for_loads
                     && loads.filter(|t| self.traffic[t.traffic].holds_group).any(|t| t.group == task.group);
                 let warm = task.group.is_some_and(|group| engine.groups.contains(&group));
-                (!held, warm, home_at_ease && engine.location == self.fleet.home)
+                (!held, warm, engine.location == self.fleet.home)
             };
             let liked = free.iter().max_by_key(|(_, to, _)| (liking(*to), self.chance(*to, self.draws)));
             let Some((_, to, tier)) = liked.copied() else { continue };
