--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -375,3 +375,71 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn many_routers_pool_their_parts_of_engines_under_pressure() {
+    let mut trace = Trace::new(4, |fleet, _, _| fleet.routers = 100);
+    let busy = Signals { busy: Some(1.0), memory: Some(0.5), ..Signals::default() };
+    trace.accept(0, 100, 3000.0).accept(0, 100, 3000.0).accept(0, 100, 3000.0).accept(0, 100, 3000.0).at(100);
+    for task in 0..4 {
+        trace.reported(task, 0, 0, HopEnd::Succeeded, Some(busy));
+    }
+    trace.decided();
+    trace.accept(1, 300, 300.0).accept(1, 300, 300.0).accept(1, 300, 300.0);
+    expect![[r#"
+        100   task 4 gets 375 MB, priority 1
+        100   task 4 to engine 0 until 16080
+    "#]]
+    .assert_eq(&trace.decided());
+}
+
+#[test]
+fn a_cold_engine_of_many_routers_gets_one_task_from_a_chance_point() {
+    let mut trace = Trace::new(0, |fleet, _, _| fleet.routers = 20);
+    trace.at(5000).list(vec![listing(0, true, Some(5000))]);
+    for at in [5000, 5400, 5800, 6200, 6600] {
+        trace.at(at).accept(0, 400, 300.0).wait(at + 360);
+    }
+    expect![[r#"
+        6360  bounce task 0, back after 400
+        6400  task 1 gets 375 MB, priority 1
+        6400  task 1 to engine 0 until 13380
+    "#]]
+    .assert_eq(&trace.decided());
+}
+
+#[test]
+fn what_goes_on_failing_is_believed_for_longer() {
+    let mut trace = Trace::new(2, |fleet, _, _| fleet.routers = 100);
+    for (task, at) in [(0, 0), (1, 9000)] {
+        trace.at(at).accept(0, 100, 300.0).ended(task, 0, 0, HopEnd::Unreachable);
+        trace.ended(task, 1, 1, HopEnd::Succeeded);
+    }
+    trace.decided();
+    trace.at(18_000).accept(0, 100, 300.0).ended(2, 0, 1, HopEnd::Succeeded).at(26_000).accept(0, 100, 300.0);
+    expect![[r#"
+        18000 task 2 gets 375 MB, priority 1
+        18000 task 2 to engine 1 until 25980
+        26000 task 3 gets 375 MB, priority 1
+        26000 task 3 to engine 0 until 33980
+    "#]]
+    .assert_eq(&trace.decided());
+}
+
+#[test]
+fn a_shortage_since_the_last_report_keeps_medium_tasks_away() {
+    let mut trace = Trace::new(2, |fleet, _, _| fleet.cuts_grants = true);
+    let free = Signals { memory: Some(0.2), ..Signals::default() };
+    trace.accept(1, 900, 900.0).accept(1, 900, 900.0).at(100).notice(0, 0, Notice::Spills(100.0));
+    trace.accept(1, 900, 6000.0).at(600).ended(2, 0, 1, HopEnd::Succeeded).accept(1, 900, 6000.0);
+    trace.at(700).reported(0, 0, 0, HopEnd::Succeeded, Some(free)).accept(1, 900, 6000.0);
+    expect![[r#"
+        0     task 0 gets 1125 MB, priority 1
+        0     task 0 to engine 0 until 15980
+        0     task 1 gets 1125 MB, priority 1
+        0     task 1 to engine 1 until 15980
+        700   task 3 gets 7500 MB, priority 1
+        700   task 3 to engine 0 until 16580
+    "#]]
+    .assert_eq(&trace.decided());
+}
