--- a/src/logic.rs
+++ b/src/logic.rs
@@ -503,8 +503,8 @@
         let guess = parts(add(own, (kind.memory * others, kind.threads * others)));
         let Some((at, signals)) = &engine.report else {
             // Nothing tells them apart but this router's own hops: others like what it likes.
-            let alike = (own.0 / memory_mb + own.1 / cores) / share;
-            return (guess.0, alike + grant / memory_mb + threads / cores);
+            let alike = (own.0 / memory_mb + own.1 / cores) * (1.0 / share - 1.0);
+            return (guess.0, guess.0 + guess.1 + alike);
         };
         let (unseen, unseen_busy) = parts(self.own(id, at.saturating_sub(self.beat())));
         // Guards against engines that answer nothing more and so look as free as this router's part.
