--- a/src/logic.rs
+++ b/src/logic.rs
@@ -79,8 +79,6 @@
     lines: BTreeMap<KeyId, Line>,
     learned: Vec<Learned>,
     shares: Recent,
-    held_memory: Vec<Recent>,
-    held_threads: Vec<Recent>,
     accepted: VecDeque<Duration>,
     further: VecDeque<Duration>,
     wake_due: Duration,
@@ -95,8 +93,6 @@
     pub fn new(fleet: Fleet, traffic: Vec<TrafficType>, duties: Duties) -> Self {
         Self {
             learned: traffic.iter().map(|_| Learned::keeping(SAMPLES)).collect(),
-            held_memory: fleet.kinds.iter().map(|_| Recent::keeping(OUTCOMES * 2)).collect(),
-            held_threads: fleet.kinds.iter().map(|_| Recent::keeping(OUTCOMES * 2)).collect(),
             fleet,
             traffic,
             duties,
@@ -155,12 +151,6 @@
         }
         self.tasks.insert(arrival.task, task);
         self.accepted.push_back(now);
-        for kind in 0..self.fleet.kinds.len() {
-            let engines = self.engines.iter().filter(|(_, engine)| engine.kind == kind);
-            let held = engines.map(|(id, _)| self.own(*id, Duration::ZERO)).fold((0.0, 0.0), add);
-            self.held_memory[kind].push(now, held.0);
-            self.held_threads[kind].push(now, held.1);
-        }
         self.settle(now, out);
     }
 
@@ -365,10 +355,7 @@
         let pressed = || engines().filter(|(id, _)| seen[id].pressed == Some(true));
         let held = |tier| pressed().map(|(_, engine)| self.threads_out(engine, tier)).sum();
         Gateway {
-            usual: (
-                self.held_memory[kind].mean().unwrap_or(memory),
-                self.held_threads[kind].mean().unwrap_or(threads),
-            ),
+            memory,
             threads,
             pool: pressed().map(|(id, _)| seen[id].ease * cores).sum(),
             held: [Tier::Unblocked, Tier::Small, Tier::Medium, Tier::Largest].map(held),
@@ -513,7 +500,7 @@
         let parts = |(own, own_threads)| ((own + grant) / memory_mb, (own_threads + threads) / cores);
         let others = (1.0 / share - 1.0) / kind.engines;
         let own = self.own(id, Duration::ZERO);
-        let guess = parts(add(own, (kind.usual.0 * others, kind.usual.1 * others)));
+        let guess = parts(add(own, (kind.memory * others, kind.threads * others)));
         let Some((at, signals)) = &engine.report else {
             // Nothing tells them apart but this router's own hops: others like what it likes.
             let alike = (own.0 / memory_mb + own.1 / cores) * (1.0 / share - 1.0);
@@ -793,8 +780,9 @@
                 liking(*a).cmp(&liking(*b)).then(luck(*a).total_cmp(&luck(*b)))
             });
             let Some((_, to, tier)) = liked.copied() else { continue };
-            let gateway = &mut gateways[self.engines[&to].kind];
-            gateway.threads += threads;
+            let kind = self.engines[&to].kind;
+            let (gateway, grant) = (&mut gateways[kind], self.grant(task, kind));
+            (gateway.memory, gateway.threads) = (gateway.memory + grant, gateway.threads + threads);
             if sight.engines[&to].pressed == Some(true) {
                 gateway.held[tier as usize] += threads;
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,7 +101,7 @@
     pub engines: f64,
     pub small: f64,
     pub medium: f64,
-    pub usual: (f64, f64),
+    pub memory: f64,
     pub threads: f64,
     pub held: [f64; 4],
     pub pool: f64,
