--- a/src/logic.rs
+++ b/src/logic.rs
@@ -773,12 +773,8 @@
                 let warm = task.group.is_some_and(|group| engine.groups.contains(&group));
                 (!held, warm, engine.location == self.fleet.home)
             };
-            let luck = |to: EngineId| {
-                self.chance(to, self.draws).powf(1.0 / self.fleet.kinds[self.engines[&to].kind].cores)
-            };
-            let liked = free.iter().max_by(|(_, a, _), (_, b, _)| {
-                liking(*a).cmp(&liking(*b)).then(luck(*a).total_cmp(&luck(*b)))
-            });
+            let luck = |to: EngineId| (self.chance(to, self.draws) * 1e6) as u32;
+            let liked = free.iter().max_by_key(|(_, to, _)| (liking(*to), luck(*to)));
             let Some((_, to, tier)) = liked.copied() else { continue };
             let kind = self.engines[&to].kind;
             let (gateway, grant) = (&mut gateways[kind], self.grant(task, kind));
