--- a/src/logic.rs
+++ b/src/logic.rs
@@ -461,7 +461,7 @@
         let times = if usual > budget { 2.0 * usual / budget } else { 1.0 };
         let window = self.duties.fall.mul_f64(times.min(1e6));
         let sent: f64 = engine.sent.since(now.saturating_sub(window)).sum();
-        let part = self.chance(id, engine.listed.as_micros() as u64);
+        let part = self.chance(id, engine.listed.as_micros() as u64) as f64 / u64::MAX as f64;
         sent + usual <= budget * times && (times == 1.0 || now >= engine.listed + window.mul_f64(part))
     }
 
@@ -503,8 +503,8 @@
         let guess = parts(add(own, (kind.memory * others, kind.threads * others)));
         let Some((at, signals)) = &engine.report else {
             // Nothing tells them apart but this router's own hops: others like what it likes.
-            let alike = (own.0 / memory_mb + own.1 / cores) * (1.0 / share - 1.0);
-            return (guess.0, guess.0 + guess.1 + alike);
+            let alike = parts(own);
+            return (guess.0, (alike.0 + alike.1) / share);
         };
         let (unseen, unseen_busy) = parts(self.own(id, at.saturating_sub(self.beat())));
         // Guards against engines that answer nothing more and so look as free as this router's part.
@@ -553,11 +553,10 @@
         !task.over && time && self.may_run_again(task, now)
     }
 
-    /// Between 0 and 1.
-    fn chance(&self, engine: EngineId, draw: u64) -> f64 {
+    fn chance(&self, engine: EngineId, draw: u64) -> u64 {
         let mut hasher = DefaultHasher::new();
         (self.fleet.seed, draw, engine).hash(&mut hasher);
-        hasher.finish() as f64 / u64::MAX as f64
+        hasher.finish()
     }
 
     fn held(&self) -> Vec<TaskId> {
@@ -773,8 +772,7 @@
                 let warm = task.group.is_some_and(|group| engine.groups.contains(&group));
                 (!held, warm, engine.location == self.fleet.home)
             };
-            let luck = |to: EngineId| (self.chance(to, self.draws) * 1e6) as u32;
-            let liked = free.iter().max_by_key(|(_, to, _)| (liking(*to), luck(*to)));
+            let liked = free.iter().max_by_key(|(_, to, _)| (liking(*to), self.chance(*to, self.draws)));
             let Some((_, to, tier)) = liked.copied() else { continue };
             let kind = self.engines[&to].kind;
             let (gateway, grant) = (&mut gateways[kind], self.grant(task, kind));
