--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,10 +18,9 @@
 const UNBLOCKED_PART: f64 = 1.0 / 64.0;
 /// Difference in free room, as a part of the engine, that counts as a tie.
 const NEAR: f64 = 1.0 / 8.0;
-/// Threads a core that small and medium tasks hold under pressure, and largest ones where parts are pooled.
+/// Threads a core that small and medium tasks hold under pressure.
 const SMALL_THREADS: f64 = 4.0;
 const MEDIUM_THREADS: f64 = 1.0;
-const LARGEST_THREADS: f64 = 2.0;
 /// Margin of a grant over the corrected estimate; the engine's own choice adds as much to the told one.
 const GRANT: f64 = 1.25;
 /// Time-outs of held tasks, by tier, as parts of the way to the target time.
@@ -478,7 +477,7 @@
     /// query are pooled over the engines under pressure. Harms by sparing one of these that could bear more.
     fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, sight: (&Seen, &Gateway, f64)) -> bool {
         let (seen, gateway, share) = sight;
-        let part = [f64::INFINITY, SMALL_THREADS, MEDIUM_THREADS, LARGEST_THREADS][tier as usize];
+        let part = if tier == Tier::Small { SMALL_THREADS } else { MEDIUM_THREADS };
         let most = self.fleet.kinds[engine.kind].cores * share * part;
         let held = self.threads_out(engine, tier);
         let pooled = gateway.held[tier as usize];
