--- a/src/logic.rs
+++ b/src/logic.rs
@@ -352,10 +352,6 @@
             hops.filter(|(task, hop)| self.tasks[task].hops[*hop].tier == tier).count() as f64
         };
         let (memory, threads) = engines().map(|(id, _)| self.own(*id, Duration::ZERO)).fold((0.0, 0.0), add);
-        // Of few hops the biggest tells more of itself than of what others hold.
-        let grants =
-            engines().flat_map(|(_, engine)| &engine.out).map(|(id, hop)| self.tasks[id].hops[*hop].grant);
-        let memory = memory - grants.fold(0.0, f64::max);
         let pressed = || engines().filter(|(id, _)| seen[id].pressed == Some(true));
         let held = |tier| pressed().map(|(_, engine)| self.threads_out(engine, tier)).sum();
         Gateway {
