--- a/src/logic.rs
+++ b/src/logic.rs
@@ -745,7 +745,7 @@
                 }
                 let gateway = &gateways[engine.kind];
                 let (memory_in_use, crowd) = self.load(to, task, now, sight.share, gateway);
-                let most = if engine.report.is_some() { 1.0 } else { 0.75 * gateway.swing.min(1.0) };
+                let most = if engine.report.is_some() { 1.0 } else { TARGET_PART * gateway.swing.min(1.0) };
                 // A shortage noted since the last report, as for most engines when routers are many.
                 let told = engine.report.map_or(Duration::ZERO, |(at, _)| at).max(lately);
                 let short = engine.refused.is_some_and(|at| at > told);
