--- a/src/logic.rs
+++ b/src/logic.rs
@@ -361,7 +361,7 @@
             held: [Tier::Unblocked, Tier::Small, Tier::Medium, Tier::Largest].map(held),
             unblocked: memory_mb / cores * UNBLOCKED_PART,
             target: memory_mb * share * TARGET_PART * swing,
-            swing,
+            untold: (1.0 + TARGET_PART) / 2.0 * swing.min(1.0),
             engines: engines().count().max(1) as f64,
             small: count(Tier::Small),
             medium: count(Tier::Medium),
@@ -745,7 +745,7 @@
                 }
                 let gateway = &gateways[engine.kind];
                 let (memory_in_use, crowd) = self.load(to, task, now, sight.share, gateway);
-                let most = if engine.report.is_some() { 1.0 } else { TARGET_PART * gateway.swing.min(1.0) };
+                let most = if engine.report.is_some() { 1.0 } else { gateway.untold };
                 // A shortage noted since the last report, as for most engines when routers are many.
                 let told = engine.report.map_or(Duration::ZERO, |(at, _)| at).max(lately);
                 let short = engine.refused.is_some_and(|at| at > told);
--- a/src/state.rs
+++ b/src/state.rs
@@ -97,7 +97,8 @@
 pub struct Gateway {
     pub unblocked: f64,
     pub target: f64,
-    pub swing: f64,
+    /// Part of an engine's memory that may fill where nothing tells how full it is.
+    pub untold: f64,
     pub engines: f64,
     pub small: f64,
     pub medium: f64,
