--- a/src/logic.rs
+++ b/src/logic.rs
@@ -108,8 +108,6 @@
         }
     }
 
-    // ---- inputs ----
-
     pub fn accept(&mut self, now: Duration, arrival: Arrival, out: &mut impl Outlet) {
         let traffic = &self.traffic[arrival.traffic];
         let learned = &mut self.learned[arrival.traffic];
@@ -274,8 +272,6 @@
         }
     }
 
-    // ---- figures ----
-
     /// The shortest target time: the module's measure for what is soon and what is long.
     fn beat(&self) -> Duration {
         self.traffic.iter().map(|t| t.target).min().unwrap_or(self.fleet.tick)
@@ -354,7 +350,10 @@
         let (memory, threads) = engines().map(|(id, _)| self.own(*id, Duration::ZERO)).fold((0.0, 0.0), add);
         let pressed = || engines().filter(|(id, _)| seen[id].pressed == Some(true));
         let held = |tier| pressed().map(|(_, engine)| self.threads_out(engine, tier)).sum();
+        let reports = || engines().filter_map(|(_, engine)| engine.report.as_ref());
+        let told = |part: fn(&Signals) -> Option<f64>| mean(reports().filter_map(|(_, s)| part(s)));
         Gateway {
+            told: told(|s| s.memory).zip(told(|s| s.busy)),
             memory,
             threads,
             pool: pressed().map(|(id, _)| seen[id].ease * cores).sum(),
@@ -500,14 +499,15 @@
         let parts = |(own, own_threads)| ((own + grant) / memory_mb, (own_threads + threads) / cores);
         let others = (1.0 / share - 1.0) / kind.engines;
         let own = self.own(id, Duration::ZERO);
-        let guess = parts(add(own, (kind.memory * others, kind.threads * others)));
+        let fresh = parts(self.own(id, now.saturating_sub(self.beat())));
+        let alone = parts(add(own, (kind.memory * others, kind.threads * others)));
+        let guess = kind.told.map_or(alone, |told| add(told, fresh));
         let Some((at, signals)) = &engine.report else {
             // Nothing tells them apart but this router's own hops: others like what it likes.
             let alike = parts(own);
             return (guess.0, (alike.0 + alike.1) / share);
         };
         let (unseen, unseen_busy) = parts(self.own(id, at.saturating_sub(self.beat())));
-        // Guards against engines that answer nothing more and so look as free as this router's part.
         let age = seconds(now - *at) / seconds(self.beat() * 4);
         let fade = |told: Option<f64>, unseen: f64, guess: f64| match told {
             Some(told) => (told + unseen + guess * age) / (1.0 + age),
@@ -563,8 +563,6 @@
         self.tasks.iter().filter(|(_, task)| task.held()).map(|(id, _)| *id).collect()
     }
 
-    // ---- effects ----
-
     /// Answers the held tasks that `hopeless` names.
     fn refuse(&mut self, hopeless: impl Fn(&Self, &Task) -> bool, out: &mut impl Outlet) -> bool {
         let come_back = self.duties.longest_come_back.map(|longest| self.beat().min(longest));
--- a/src/state.rs
+++ b/src/state.rs
@@ -102,6 +102,8 @@
     pub engines: f64,
     pub small: f64,
     pub medium: f64,
+    /// Mean parts of memory and cores that its engines reported in use.
+    pub told: Option<(f64, f64)>,
     pub memory: f64,
     pub threads: f64,
     pub held: [f64; 4],
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -387,6 +387,10 @@
     expect![[r#"
         100   task 4 gets 375 MB, priority 1
         100   task 4 to engine 0 until 16080
+        100   task 5 gets 375 MB, priority 1
+        100   task 5 to engine 3 until 16080
+        100   task 6 gets 375 MB, priority 1
+        100   task 6 to engine 2 until 16080
     "#]]
     .assert_eq(&trace.decided());
 }
