--- a/src/logic.rs
+++ b/src/logic.rs
@@ -489,9 +489,9 @@
         }
     }
 
-    /// Part of memory, and the sum of it and of cores, in use at an engine once it has the task: as last told, with the router's
-    /// own hops that a report may not show yet on top, or by its own hops there and the other routers' ones,
-    /// as many as its share tells, spread evenly.
+    /// Part of memory, and the sum of it and of cores, in use at an engine once it has the task: as last told,
+    /// with own hops that it may not show yet; a report fades into the mean of all. With no reports at all, own
+    /// hops there and other routers' ones, as many as the share tells, spread evenly.
     fn load(&self, id: EngineId, task: &Task, now: Duration, share: f64, kind: &Gateway) -> (f64, f64) {
         let engine = &self.engines[&id];
         let Kind { cores, memory_mb } = self.fleet.kinds[engine.kind];
