--- a/src/logic.rs
+++ b/src/logic.rs
@@ -258,8 +258,8 @@
         self.settle(now, out);
     }
 
-    /// Takes a report in. What all this router's other hops hold, over what the fleet would with as much granted
-    /// everywhere, is a sample of the share: at one engine, those with a hop of its own would count too often.
+    /// Takes a report in. What this router's other hops hold, over what the fleet does with as much granted
+    /// everywhere, samples the share: at one engine alone, those with an own hop would count too often.
     fn report(&mut self, now: Duration, id: EngineId, signals: Option<Signals>, ended: TaskId) {
         let Some((signals, engine)) = signals.zip(self.engines.get_mut(&id)) else { return };
         engine.report = Some((now, signals));
@@ -389,7 +389,7 @@
         seconds(now.saturating_sub(engine.heard.max(oldest))) / due.max(seconds(self.beat()))
     }
 
-    /// Guards against engines that fail fast or are gone: they look free. What goes on is believed for longer,
+    /// Guards against engines that fail fast or are gone: they look free. What goes on is believed longer,
     /// since the trials of many routers add up.
     fn failing(&self, engine: &Engine, now: Duration) -> bool {
         let in_a_row = engine.bad.since(Duration::ZERO).take_while(|bad| *bad > 0.0).count();
@@ -448,7 +448,7 @@
     }
 
     /// Guards cold engines: this router's part of what a starting engine takes in any window, by the usual
-    /// work of the traffic type. With many routers that is under one task: then one in a window as much longer,
+    /// work of the traffic type. With many routers that is under one task: then one in a longer window,
     /// from a point in it that chance sets, so that the parts still add up, to half of the whole at most.
     fn fits_cold(&self, id: EngineId, engine: &Engine, task: &Task, now: Duration, share: f64) -> bool {
         let age = engine.cold_since.map(|at| seconds(now.saturating_sub(at)) / seconds(self.duties.warm_up));
@@ -471,8 +471,8 @@
     }
 
     /// Whether the tier has a slot open at an engine: largest one at a time, the others bound under pressure.
-    /// Guards against surges and slow fleets: limits shrink as latency rises. Harms an engine that is slow for
-    /// its own reasons. Guards against many routers, whose one query at each engine adds up: parts under one
+    /// Guards against surges and slow fleets: limits shrink as latency rises. Harms engines slow for
+    /// their own reasons. Guards against many routers, whose one query at each engine adds up: parts under one
     /// query are pooled over the engines under pressure. Harms by sparing one of these that could bear more.
     fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, sight: (&Seen, &Gateway, f64)) -> bool {
         let (seen, gateway, share) = sight;
@@ -489,9 +489,9 @@
         }
     }
 
-    /// Part of memory, and the sum of it and of cores, in use at an engine once it has the task: as last told,
-    /// with own hops that it may not show yet; a report fades into the mean of all. With no reports at all, own
-    /// hops there and other routers' ones, as many as the share tells, spread evenly.
+    /// Part of memory, and its sum with that of cores, in use at an engine once it has the task: as told,
+    /// with own hops not shown yet; a report fades into the mean of all. With no reports at all, own hops
+    /// there and other routers' ones, as many as the share tells, spread evenly.
     fn load(&self, id: EngineId, task: &Task, now: Duration, share: f64, kind: &Gateway) -> (f64, f64) {
         let engine = &self.engines[&id];
         let Kind { cores, memory_mb } = self.fleet.kinds[engine.kind];
