--- a/src/logic.rs
+++ b/src/logic.rs
@@ -471,8 +471,8 @@
     }
 
     /// Whether the tier has a slot open at an engine: largest one at a time, the others bound under pressure.
-    /// Guards against surges and slow fleets: limits shrink as latency rises. Harms engines slow for
-    /// their own reasons. Guards against many routers, whose one query at each engine adds up: parts under one
+    /// Guards against surges and slow fleets: limits shrink as latency rises. Harms engines slow for their
+    /// own reasons. Guards against many routers, whose one query at each engine adds up: parts under one
     /// query are pooled over the engines under pressure. Harms by sparing one of these that could bear more.
     fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, sight: (&Seen, &Gateway, f64)) -> bool {
         let (seen, gateway, share) = sight;
