--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -1,4 +1,4 @@
-//! Short traces of decisions, one for each duty and each failure met; kept ones are renewed with UPDATE_EXPECT=1
+//! Short traces of decisions, one for each duty and failure met; kept ones are renewed with UPDATE_EXPECT=1
 //! and read before they are committed.
 
 mod trace;
