--- a/src/logic.rs
+++ b/src/logic.rs
@@ -296,10 +296,12 @@
 
     /// MB and threads that this router has out at an engine, of hops sent since `from`.
     fn own(&self, id: EngineId, from: Duration) -> (f64, f64) {
-        let out = self.engines.get(&id).into_iter().flat_map(|engine| &engine.out);
-        let hops = out.map(|(task, hop)| (&self.tasks[task].hops[*hop], self.tasks[task].traffic));
-        let hops = hops.filter(|(hop, _)| hop.sent >= from);
-        hops.map(|(hop, traffic)| (hop.grant, self.traffic[traffic].threads)).fold((0.0, 0.0), add)
+        let hops = self.hops_out(&self.engines[&id]).filter(|(_, hop)| hop.sent >= from);
+        hops.map(|(task, hop)| (hop.grant, self.traffic[task.traffic].threads)).fold((0.0, 0.0), add)
+    }
+
+    fn hops_out(&self, engine: &Engine) -> impl Iterator<Item = (&Task, &Hop)> {
+        engine.out.iter().map(|(id, hop)| (&self.tasks[id], &self.tasks[id].hops[*hop]))
     }
 
     fn sight(&self, now: Duration) -> Sight {
@@ -344,8 +346,7 @@
         };
         let swing = 1.0 + mean(engines().map(|(id, _)| mood(id))).unwrap_or(0.0) / 2.0;
         let count = |tier| {
-            let hops = engines().flat_map(|(_, engine)| &engine.out);
-            hops.filter(|(task, hop)| self.tasks[task].hops[*hop].tier == tier).count() as f64
+            engines().flat_map(|(_, e)| self.hops_out(e)).filter(|(_, hop)| hop.tier == tier).count() as f64
         };
         let (memory, threads) = engines().map(|(id, _)| self.own(*id, Duration::ZERO)).fold((0.0, 0.0), add);
         let pressed = || engines().filter(|(id, _)| seen[id].pressed == Some(true));
@@ -380,8 +381,8 @@
 
     /// No sign from an engine that has hops out, for this many times as long as one should be due in.
     fn silence(&self, engine: &Engine, now: Duration, runs: &[f64]) -> f64 {
-        let hops = || engine.out.iter().map(|(task, hop)| (&self.tasks[task], *hop));
-        let Some(oldest) = hops().map(|(task, hop)| task.hops[hop].sent).min() else { return 0.0 };
+        let hops = || self.hops_out(engine);
+        let Some(oldest) = hops().map(|(_, hop)| hop.sent).min() else { return 0.0 };
         let due = match self.fleet.note_every {
             Some(every) => seconds(every) * 2.0,
             None => hops().map(|(t, _)| t.ideal * runs[t.traffic] * 3.0).fold(f64::INFINITY, f64::min),
@@ -465,8 +466,7 @@
     }
 
     fn threads_out(&self, engine: &Engine, tier: Tier) -> f64 {
-        let out = engine.out.iter().map(|(task, hop)| (&self.tasks[task], *hop));
-        let of_tier = out.filter(|(task, hop)| task.hops[*hop].tier == tier);
+        let of_tier = self.hops_out(engine).filter(|(_, hop)| hop.tier == tier);
         of_tier.map(|(task, _)| self.traffic[task.traffic].threads).sum()
     }
 
@@ -498,13 +498,13 @@
         let (grant, threads) = (self.grant(task, engine.kind), self.traffic[task.traffic].threads);
         let parts = |(own, own_threads)| ((own + grant) / memory_mb, (own_threads + threads) / cores);
         let others = (1.0 / share - 1.0) / kind.engines;
-        let own = self.own(id, Duration::ZERO);
-        let fresh = parts(self.own(id, now.saturating_sub(self.beat())));
-        let alone = parts(add(own, (kind.memory * others, kind.threads * others)));
-        let guess = kind.told.map_or(alone, |told| add(told, fresh));
+        let own = || self.own(id, Duration::ZERO);
+        let alone = || parts(add(own(), (kind.memory * others, kind.threads * others)));
+        let fresh = || parts(self.own(id, now.saturating_sub(self.beat())));
+        let guess = kind.told.map_or_else(alone, |told| add(told, fresh()));
         let Some((at, signals)) = &engine.report else {
             // Nothing tells them apart but this router's own hops: others like what it likes.
-            let alike = parts(own);
+            let alike = parts(own());
             return (guess.0, (alike.0 + alike.1) / share);
         };
         let (unseen, unseen_busy) = parts(self.own(id, at.saturating_sub(self.beat())));
@@ -589,8 +589,7 @@
 
     fn send(&mut self, now: Duration, id: TaskId, to: EngineId, tier: Tier, out: &mut impl Outlet) {
         let task = &self.tasks[&id];
-        let engine = &self.engines[&to];
-        let grant = self.grant(task, engine.kind);
+        let grant = self.grant(task, self.engines[&to].kind);
         let usual = self.usual_cost(task.traffic);
         out.terms(id, grant.round(), self.priority(task.traffic));
         out.send(id, to, task.patience.saturating_sub(self.margin()));
@@ -764,7 +763,7 @@
             // Near ties only: away from a load on the group, to where it was read, to the home location.
             let liking = |to: EngineId| {
                 let engine = &self.engines[&to];
-                let loads = engine.out.iter().map(|(id, _)| &self.tasks[id]);
+                let loads = self.hops_out(engine).map(|(task, _)| task);
                 let held = self.traffic[task.traffic].waits_for_loads
                     && loads.filter(|t| self.traffic[t.traffic].holds_group).any(|t| t.group == task.group);
                 let warm = task.group.is_some_and(|group| engine.groups.contains(&group));
