--- /dev/null
+++ b/crates/router/src/clients.rs
@@ -0,0 +1,100 @@
+//! Connections of clients: lines in, answers out, and the tasks open on each.
+
+use crate::jsonrpc;
+use crate::ring::{Filled, Ring};
+use crate::slots::{Slot, Slots};
+use crate::works::Wire;
+use emberflow::TaskId;
+use std::collections::BTreeMap;
+use std::io;
+
+/// Open tasks that a connection carries.
+pub const MOST_OPEN: usize = 32;
+
+pub struct Client {
+    pub wire: Wire,
+    input: Ring,
+    output: Ring,
+    /// Bytes at the front of the input that hold no line's end.
+    scanned: usize,
+    /// By the id on this connection.
+    pub open: BTreeMap<u64, TaskId>,
+    /// Nothing more is read; it closes once all is answered.
+    deaf: bool,
+}
+
+/// What a connection's turn at reading came to.
+pub enum Heard {
+    Line(Vec<u8>),
+    TooLong,
+    Nothing,
+    Closed,
+}
+
+#[derive(Default)]
+pub struct Clients {
+    pub table: Slots<Client>,
+    pub most_bytes: usize,
+}
+
+impl Clients {
+    pub fn admit(&mut self, wire: Wire) -> Slot {
+        let (input, output, open) = (Ring::default(), Ring::default(), BTreeMap::new());
+        self.table.insert(Client { wire, input, output, scanned: 0, open, deaf: false })
+    }
+
+    /// The next line. A client that does not read its answers is not read from either.
+    pub fn hear(&mut self, slot: Slot) -> Heard {
+        let most = self.most_bytes;
+        let Some(client) = self.table.get_mut(slot) else { return Heard::Nothing };
+        loop {
+            if client.deaf || client.output.len() > most {
+                return Heard::Nothing;
+            }
+            if let Some((line, length)) = jsonrpc::line(client.input.readable(), client.scanned) {
+                let line = line.to_vec();
+                client.input.consume(length);
+                client.scanned = 0;
+                return Heard::Line(line);
+            }
+            client.scanned = client.input.len();
+            if client.scanned >= most {
+                client.deaf = true;
+                return Heard::TooLong;
+            }
+            let before = client.input.len();
+            match client.input.fill(&mut &*client.wire.socket, most) {
+                Ok(Filled::Closed) | Err(_) if client.input.len() == before => return Heard::Closed,
+                Err(_) => return Heard::Closed,
+                Ok(_) if client.input.len() == before => return Heard::Nothing,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    pub fn say(&mut self, slot: Slot, line: &[u8]) -> io::Result<()> {
+        let Some(client) = self.table.get_mut(slot) else { return Ok(()) };
+        client.output.push(line);
+        client.output.drain(&mut &*client.wire.socket)
+    }
+
+    pub fn flush(&mut self, slot: Slot) -> io::Result<()> {
+        self.say(slot, b"")
+    }
+
+    pub fn answered(&mut self, slot: Slot, id: u64) {
+        if let Some(client) = self.table.get_mut(slot) {
+            client.open.remove(&id);
+        }
+    }
+
+    /// Whether it can't be read on and owes nothing more.
+    pub fn is_done(&self, slot: Slot) -> bool {
+        self.table.get(slot).is_some_and(|c| c.deaf && c.open.is_empty() && c.output.is_empty())
+    }
+
+    /// Whether all that was said has left.
+    pub fn all_said(&self) -> bool {
+        self.table.iter().all(|(_, client)| client.output.is_empty())
+    }
+}
--- /dev/null
+++ b/crates/router/src/clock.rs
@@ -0,0 +1,27 @@
+//! The one clock: spans since a while before the start, so that what was told to have happened in that while
+//! has a time as well.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub struct Clock {
+    started: Instant,
+    before: Duration,
+    /// Of the clock's zero, since the Unix epoch.
+    zero: Duration,
+}
+
+impl Clock {
+    pub fn starting(before: Duration) -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { started: Instant::now(), before, zero: unix.saturating_sub(before) }
+    }
+
+    pub fn now(&self) -> Duration {
+        self.before + self.started.elapsed()
+    }
+
+    /// What the clock showed at a Unix time; what lies before its zero happened at its zero.
+    pub fn at_unix_ms(&self, ms: u64) -> Duration {
+        Duration::from_millis(ms).saturating_sub(self.zero)
+    }
+}
--- /dev/null
+++ b/crates/router/src/deadlines.rs
@@ -0,0 +1,45 @@
+//! All that falls due at a time, in one ordered structure.
+
+use crate::slots::Slot;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    /// The decisions asked to be woken.
+    Wake,
+    /// A hop is abandoned.
+    Hop(Slot),
+    /// A connection to an engine must have come up, or have shown that it works.
+    Link(Slot),
+    /// A connection to an engine has carried nothing for long.
+    Idle(Slot),
+    /// The bulletin must have sent something, or is dialled again.
+    Bulletin,
+    /// A planned restart may end.
+    Leave,
+}
+
+#[derive(Default)]
+pub struct Deadlines {
+    ordered: BTreeSet<(Duration, Due)>,
+}
+
+impl Deadlines {
+    pub fn set(&mut self, at: Duration, due: Due) {
+        self.ordered.insert((at, due));
+    }
+
+    pub fn clear(&mut self, at: Duration, due: Due) {
+        self.ordered.remove(&(at, due));
+    }
+
+    pub fn first(&self) -> Option<Duration> {
+        self.ordered.first().map(|(at, _)| *at)
+    }
+
+    pub fn pop(&mut self, now: Duration) -> Option<Due> {
+        let (at, due) = *self.ordered.first()?;
+        (at <= now && self.ordered.remove(&(at, due))).then_some(due)
+    }
+}
--- /dev/null
+++ b/crates/router/src/engines.rs
@@ -0,0 +1,533 @@
+//! The engines' side: connections, hops, the pages of a result. It chooses no engine and answers no client.
+
+use crate::bulletin::Row;
+use crate::deadlines::Due;
+use crate::premises::{Premises, whole_ms};
+use crate::resp;
+use crate::ring::{Filled, Ring};
+use crate::slots::{Slot, Slots};
+use crate::works::{Wire, Works, has_come_up};
+use emberflow::{Bill, Ended, EngineId, HopEnd, Listing, Notice, Signals, TaskId};
+use emberflow_startup::from_ms;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Bytes of a result, and its pages.
+const MOST_BYTES: usize = 48_000;
+const MOST_PAGES: usize = 256;
+/// Read from a connection in one turn of the loop.
+const TURN: usize = 256 * 1024;
+/// The part of an idle connection's time after which it is retired.
+const RETIRED: f64 = 0.8;
+
+struct Engine {
+    address: SocketAddr,
+    launched: Option<Duration>,
+    links: Vec<Slot>,
+}
+
+/// One connection.
+struct Link {
+    engine: EngineId,
+    wire: Wire,
+    up: bool,
+    /// It takes no further hops.
+    retired: bool,
+    input: Ring,
+    output: Ring,
+    hops: BTreeMap<String, Slot>,
+    /// Hops that wait until it has come up or has shown that it works.
+    waiting: Vec<Slot>,
+    opened: Duration,
+    heard: Duration,
+    due: Option<Duration>,
+    idle: Option<Duration>,
+}
+
+pub struct Hop {
+    task: TaskId,
+    number: usize,
+    engine: EngineId,
+    pub link: Option<Slot>,
+    id: String,
+    call: Vec<u8>,
+    sent: Duration,
+    until: Duration,
+    /// Where its call begins in what was ever written to the connection.
+    written: Option<u64>,
+    result: Option<Pages>,
+}
+
+struct Pages {
+    got: Vec<Option<Vec<u8>>>,
+    bill: Option<Bill>,
+    signals: Option<Signals>,
+}
+
+/// A hop to be sent: the task's id, class, key and statement go on unchanged.
+pub struct Call<'a> {
+    pub task: TaskId,
+    pub number: usize,
+    pub id: &'a str,
+    pub class: &'a str,
+    pub opkey: Option<&'a str>,
+    pub statement: &'a [u8],
+    pub grant_mb: f64,
+    pub priority: u8,
+    pub until: Duration,
+}
+
+/// What the decisions are to be told next.
+pub enum News {
+    Ended(Ended, Option<Vec<u8>>),
+    Noticed(TaskId, usize, Notice),
+}
+
+pub struct Engines {
+    book: Vec<Engine>,
+    numbers: BTreeMap<u32, EngineId>,
+    links: Slots<Link>,
+    hops: Slots<Hop>,
+    pub news: VecDeque<News>,
+    streams: usize,
+    comes_up: Duration,
+    idle_close: Duration,
+    most_links: usize,
+}
+
+impl Engines {
+    pub fn new(premises: &Premises) -> Self {
+        Self {
+            book: Vec::new(),
+            numbers: BTreeMap::new(),
+            links: Slots::default(),
+            hops: Slots::default(),
+            news: VecDeque::new(),
+            streams: premises.streams,
+            comes_up: premises.comes_up,
+            idle_close: premises.idle_close,
+            most_links: premises.most_links(),
+        }
+    }
+
+    /// Takes one line of the list in. A process that ended takes its connections with it, told or not.
+    pub fn listed(&mut self, row: &Row, works: &mut Works) -> Listing {
+        let launched = (row.up_since_ms > 0).then(|| works.clock.at_unix_ms(row.up_since_ms));
+        let next = self.book.len();
+        let engine = *self.numbers.entry(row.id).or_insert(next);
+        if engine == next {
+            self.book.push(Engine { address: row.address, launched, links: Vec::new() });
+        }
+        let known = &mut self.book[engine];
+        known.address = row.address;
+        if known.launched != launched
+            && let Some(at) = launched
+        {
+            known.launched = launched;
+            let links = known.links.clone();
+            let old = |slot: &Slot| self.links.get(*slot).is_some_and(|link| link.opened < at);
+            for slot in links.into_iter().filter(old).collect::<Vec<_>>() {
+                self.lose(slot, "its engine has started anew", works);
+            }
+        }
+        Listing { engine, location: row.location, kind: row.kind, cell: row.cell, ready: row.ready, launched }
+    }
+
+    /// Sends a hop, on a connection that no earlier hop of its task went over: answers name the task alone.
+    pub fn send(&mut self, engine: EngineId, call: Call, earlier: &[Slot], works: &mut Works) -> Slot {
+        let now = works.now();
+        let fields = [
+            Some(format!("queue={}", call.class)),
+            Some(format!("budget={}", whole_ms(call.until.saturating_sub(now)).max(1))),
+            call.opkey.map(|key| format!("uniq={key}")),
+            (call.grant_mb >= 1.0).then(|| format!("mem={}", call.grant_mb.round() as u64)),
+            Some(format!("prio={}", call.priority)),
+        ];
+        let fields = fields.into_iter().flatten().collect::<Vec<_>>().join(",");
+        let words = resp::array(&[b"GET", call.id.as_bytes(), fields.as_bytes(), call.statement]);
+        let used: Vec<Slot> =
+            earlier.iter().filter_map(|hop| self.hops.get(*hop)?.link).chain(self.used_by(call.id)).collect();
+        let hop = self.hops.insert(Hop {
+            task: call.task,
+            number: call.number,
+            engine,
+            link: None,
+            id: call.id.to_owned(),
+            call: words,
+            sent: now,
+            until: call.until,
+            written: None,
+            result: None,
+        });
+        works.deadlines.set(call.until, Due::Hop(hop));
+        works.counters.count("hops_sent");
+        match self.link_for(engine, &used, works) {
+            Some(link) => self.put(hop, link, works),
+            None => self.end(hop, HopEnd::Unreachable, None, works),
+        }
+        hop
+    }
+
+    fn used_by(&self, id: &str) -> Vec<Slot> {
+        self.links.iter().filter(|(_, link)| link.hops.contains_key(id)).map(|(slot, _)| slot).collect()
+    }
+
+    /// A connection with room for another hop: the first that is up, else one coming up, else a new one.
+    fn link_for(&mut self, engine: EngineId, used: &[Slot], works: &mut Works) -> Option<Slot> {
+        let links = self.book[engine].links.iter().filter_map(|slot| Some((*slot, self.links.get(*slot)?)));
+        let open = links
+            .filter(|(slot, link)| !link.retired && link.hops.len() < self.streams && !used.contains(slot));
+        if let Some((slot, _)) = open.min_by_key(|(_, link)| !link.up) {
+            return Some(slot);
+        }
+        if self.links.len() >= self.most_links {
+            works.counters.count("links_over_the_limit");
+            return None;
+        }
+        let slot = self.links.next();
+        let wire = works.dial(self.book[engine].address, move |front| front.link_ready(slot));
+        let wire = wire.inspect_err(|e| {
+            works.counters.count("links_refused");
+            log::info!("engine {engine}: no connection: {e}");
+        });
+        let now = works.now();
+        let due = now + self.comes_up;
+        works.deadlines.set(due, Due::Link(slot));
+        works.counters.count("links_dialled");
+        let slot = self.links.insert(Link {
+            engine,
+            wire: wire.ok()?,
+            up: false,
+            retired: false,
+            input: Ring::default(),
+            output: Ring::default(),
+            hops: BTreeMap::new(),
+            waiting: Vec::new(),
+            opened: now,
+            heard: now,
+            due: Some(due),
+            idle: None,
+        });
+        self.book[engine].links.push(slot);
+        Some(slot)
+    }
+
+    fn put(&mut self, hop: Slot, slot: Slot, works: &mut Works) {
+        let (Some(row), Some(link)) = (self.hops.get_mut(hop), self.links.get_mut(slot)) else { return };
+        row.link = Some(slot);
+        link.hops.insert(row.id.clone(), hop);
+        if let Some(at) = link.idle.take() {
+            works.deadlines.clear(at, Due::Idle(slot));
+        }
+        link.waiting.push(hop);
+        // A silent connection may lead to a machine that is no more: it has to answer before it is used.
+        let now = works.now();
+        if link.up && link.due.is_none() && now > link.heard + self.comes_up {
+            link.output.push(&resp::array(&[b"PING", b"0"]));
+            let due = now + self.comes_up;
+            link.due = Some(due);
+            works.deadlines.set(due, Due::Link(slot));
+        }
+        self.go_on(slot, works);
+    }
+
+    /// Writes what waits, as far as the connection is known to work.
+    fn go_on(&mut self, slot: Slot, works: &mut Works) {
+        let Some(link) = self.links.get_mut(slot) else { return };
+        if link.up && link.due.is_none() {
+            for hop in std::mem::take(&mut link.waiting) {
+                if let Some(hop) = self.hops.get_mut(hop) {
+                    hop.written = Some(link.output.end());
+                    link.output.push(&std::mem::take(&mut hop.call));
+                }
+            }
+        }
+        if link.up
+            && let Err(error) = link.output.drain(&mut &*link.wire.socket)
+        {
+            self.lose(slot, &error.to_string(), works);
+        }
+    }
+
+    /// The connection's socket has changed.
+    pub fn ready(&mut self, slot: Slot, works: &mut Works) {
+        let Some(link) = self.links.get_mut(slot) else { return };
+        if !link.up {
+            match has_come_up(&link.wire.socket) {
+                Ok(false) => return,
+                Ok(true) => {
+                    link.up = true;
+                    link.heard = works.now();
+                    link.due.take().inspect(|at| works.deadlines.clear(*at, Due::Link(slot)));
+                }
+                Err(error) => return self.lose(slot, &error.to_string(), works),
+            }
+        }
+        self.go_on(slot, works);
+        loop {
+            let Some(link) = self.links.get_mut(slot) else { return };
+            let filled = link.input.fill(&mut &*link.wire.socket, TURN);
+            if let Err(malformed) = self.hear(slot, works) {
+                works.counters.count("engine_input_malformed");
+                return self.lose(slot, &malformed, works);
+            }
+            match filled {
+                Ok(Filled::Drained) => return,
+                Ok(Filled::Enough) => {}
+                Ok(Filled::Closed) => return self.lose(slot, "closed by the engine", works),
+                Err(error) => return self.lose(slot, &error.to_string(), works),
+            }
+        }
+    }
+
+    /// Takes in all answers that have come whole.
+    fn hear(&mut self, slot: Slot, works: &mut Works) -> Result<(), String> {
+        loop {
+            let Some(link) = self.links.get_mut(slot) else { return Ok(()) };
+            let Some((parts, length)) = resp::parse(link.input.readable())? else { return Ok(()) };
+            let text = |part: &[u8]| String::from_utf8(part.to_vec()).map_err(|_| "text that is no UTF-8");
+            let part = |at: usize| parts.get(at).copied().unwrap_or_default();
+            let (id, word, fields) = (text(part(0))?, text(part(1))?, text(part(2))?);
+            let body = part(3).to_vec();
+            link.input.consume(length);
+            link.heard = works.now();
+            if let Some(at) = link.due.take() {
+                works.deadlines.clear(at, Due::Link(slot));
+                self.go_on(slot, works);
+            }
+            if word == "PONG" {
+                continue;
+            }
+            match self.links.get(slot).and_then(|link| link.hops.get(&id)).copied() {
+                Some(hop) => self.answer(hop, &word, &fields, body, works)?,
+                None => works.counters.count("engine_answers_for_nothing"),
+            }
+        }
+    }
+
+    fn answer(
+        &mut self,
+        slot: Slot,
+        word: &str,
+        fields: &str,
+        body: Vec<u8>,
+        works: &mut Works,
+    ) -> Result<(), String> {
+        let Some(hop) = self.hops.get_mut(slot) else { return Ok(()) };
+        let text = |name: &str| resp::field(fields, name, (',', '='));
+        let figure = |name: &str| match text(name) {
+            Some(value) => match value.parse::<f64>() {
+                Ok(value) if value.is_finite() => Ok(Some(value.max(0.0))),
+                _ => Err(format!("`{name}` is no number: {value}")),
+            },
+            None => Ok(None),
+        };
+        let signals = text("use").map(signals).transpose()?;
+        match word {
+            "HIT" if hop.result.is_none() => {
+                let pages = figure("pages")?.unwrap_or(1.0);
+                if !(1.0..=MOST_PAGES as f64).contains(&pages) {
+                    return Err(format!("a result of {pages} pages"));
+                }
+                let bill = figure("cost")?.zip(figure("need")?);
+                let bill = bill.map(|(ms, memory_mb)| Bill { cost: from_ms(ms), memory_mb });
+                let mut got = vec![None; pages as usize];
+                got[0] = Some(body);
+                hop.result = Some(Pages { got, bill, signals });
+                let asks = (1..pages as usize)
+                    .map(|page| resp::array(&[b"PAGE", hop.id.as_bytes(), page.to_string().as_bytes()]));
+                let asks = asks.collect::<Vec<_>>().concat();
+                self.write(slot, &asks, works);
+                self.complete(slot, works)
+            }
+            "PART" => {
+                let page = figure("page")?.ok_or("a page without its number")? as usize;
+                let got = hop.result.as_mut().and_then(|result| result.got.get_mut(page));
+                match got.filter(|got| got.is_none()) {
+                    Some(got) => *got = Some(body),
+                    None => return Err(format!("page {page} out of turn")),
+                }
+                self.complete(slot, works)
+            }
+            "INFO" => {
+                let value = figure("v")?;
+                let notice = match (text("detail"), value) {
+                    (Some("advance"), Some(done)) => Notice::Done(done),
+                    (Some("disk"), Some(missing_mb)) => Notice::Spills(missing_mb),
+                    (Some("stall"), Some(1.0)) => Notice::WaitsForMemory,
+                    (Some("stall"), Some(2.0)) => Notice::WaitsForLoad,
+                    (None, _) => return Ok(()),
+                    (detail, value) => return Err(format!("a note {detail:?} of {value:?}")),
+                };
+                works.counters.count("notes");
+                self.news.push_back(News::Noticed(hop.task, hop.number, notice));
+                Ok(())
+            }
+            "SHED" | "LATE" => {
+                self.end(slot, HopEnd::Overloaded, signals, works);
+                Ok(())
+            }
+            "FAULT" => {
+                self.end(slot, HopEnd::Failed, signals, works);
+                Ok(())
+            }
+            _ => Err(format!("the word {word} out of turn")),
+        }
+    }
+
+    /// Ends a hop whose pages are all there.
+    fn complete(&mut self, slot: Slot, works: &mut Works) -> Result<(), String> {
+        let result = self.hops.get_mut(slot).and_then(|hop| hop.result.as_mut());
+        let Some(result) = result.filter(|result| result.got.iter().all(Option::is_some)) else {
+            return Ok(());
+        };
+        let body: Vec<u8> = std::mem::take(&mut result.got).into_iter().flatten().flatten().collect();
+        if body.len() > MOST_BYTES {
+            return Err(format!("a result of {} bytes", body.len()));
+        }
+        self.finish(slot, HopEnd::Succeeded, Some(body), None, works);
+        Ok(())
+    }
+
+    fn end(&mut self, slot: Slot, end: HopEnd, signals: Option<Signals>, works: &mut Works) {
+        self.finish(slot, end, None, signals, works);
+    }
+
+    fn finish(
+        &mut self,
+        slot: Slot,
+        end: HopEnd,
+        body: Option<Vec<u8>>,
+        signals: Option<Signals>,
+        works: &mut Works,
+    ) {
+        let Some(hop) = self.hops.take(slot) else { return };
+        let now = works.now();
+        works.deadlines.clear(hop.until, Due::Hop(slot));
+        works.counters.count(match end {
+            HopEnd::Succeeded => "hops_succeeded",
+            HopEnd::Failed => "hops_failed",
+            HopEnd::Overloaded => "hops_overloaded",
+            HopEnd::TimedOut => "hops_timed_out",
+            HopEnd::Unreachable => "hops_unreachable",
+            HopEnd::Broken => "hops_broken",
+            HopEnd::Withdrawn => "hops_withdrawn",
+            HopEnd::Void => "hops_void",
+        });
+        if let Some((at, link)) = hop.link.and_then(|at| Some((at, self.links.get_mut(at)?))) {
+            link.hops.remove(&hop.id);
+            link.waiting.retain(|waits| *waits != slot);
+            if link.hops.is_empty() {
+                let idle = now + self.idle_close.mul_f64(RETIRED);
+                link.idle = Some(idle);
+                works.deadlines.set(if link.retired { now } else { idle }, Due::Idle(at));
+            }
+        }
+        let (bill, told) = hop.result.map_or((None, None), |result| (result.bill, result.signals));
+        let ended = Ended {
+            task: hop.task,
+            hop: hop.number,
+            engine: hop.engine,
+            end,
+            took: now.saturating_sub(hop.sent),
+            bill: bill.filter(|_| end == HopEnd::Succeeded),
+            signals: signals.or(told),
+            over: false,
+        };
+        self.news.push_back(News::Ended(ended, body));
+    }
+
+    fn write(&mut self, hop: Slot, bytes: &[u8], works: &mut Works) {
+        let Some(slot) = self.hops.get(hop).and_then(|hop| hop.link) else { return };
+        if let Some(link) = self.links.get_mut(slot) {
+            link.output.push(bytes);
+            self.go_on(slot, works);
+        }
+    }
+
+    /// A new priority of a hop that is out.
+    pub fn rank(&mut self, hop: Slot, priority: u8, works: &mut Works) {
+        if let Some(row) = self.hops.get(hop).filter(|row| row.written.is_some()) {
+            let bytes = resp::array(&[b"RANK", row.id.as_bytes(), priority.to_string().as_bytes()]);
+            self.write(hop, &bytes, works);
+        }
+    }
+
+    pub fn cancel(&mut self, hop: Slot, works: &mut Works) {
+        self.abandon(hop, HopEnd::Withdrawn, HopEnd::Void, works);
+    }
+
+    pub fn overdue(&mut self, hop: Slot, works: &mut Works) {
+        self.abandon(hop, HopEnd::TimedOut, HopEnd::Unreachable, works);
+    }
+
+    /// Gives a hop up, at the engine too; what was never written never ran.
+    fn abandon(&mut self, slot: Slot, end: HopEnd, unwritten: HopEnd, works: &mut Works) {
+        let Some(hop) = self.hops.get(slot) else { return };
+        if hop.written.is_none() {
+            return self.end(slot, unwritten, None, works);
+        }
+        let word: &[u8] = if hop.result.is_some() { b"CLOSE" } else { b"DROP" };
+        let bytes = resp::array(&[word, hop.id.as_bytes()]);
+        self.write(slot, &bytes, works);
+        self.end(slot, end, None, works);
+    }
+
+    /// A connection that has not come up, or has not shown that it works, in time.
+    pub fn link_overdue(&mut self, slot: Slot, now: Duration, works: &mut Works) {
+        let Some(link) = self.links.get_mut(slot).filter(|link| link.due.is_some_and(|at| at <= now)) else {
+            return;
+        };
+        if !link.up {
+            works.counters.count("links_not_up_in_time");
+            return self.lose(slot, "not up in time", works);
+        }
+        // What is out on it may still be answered.
+        works.counters.count("links_silent");
+        (link.retired, link.due) = (true, None);
+        for hop in std::mem::take(&mut link.waiting) {
+            self.end(hop, HopEnd::Unreachable, None, works);
+        }
+    }
+
+    pub fn link_idle(&mut self, slot: Slot, works: &mut Works) {
+        if let Some(link) = self.links.get(slot).filter(|link| link.hops.is_empty())
+            && (link.retired || link.idle.is_some_and(|at| at <= works.now()))
+        {
+            self.lose(slot, "idle", works);
+        }
+    }
+
+    /// Closes a connection; of what it carried, that of which nothing was written never ran.
+    fn lose(&mut self, slot: Slot, why: &str, works: &mut Works) {
+        let Some(link) = self.links.take(slot) else { return };
+        log::debug!("engine {}: connection over with {} hops: {why}", link.engine, link.hops.len());
+        self.book[link.engine].links.retain(|other| *other != slot);
+        link.due.inspect(|at| works.deadlines.clear(*at, Due::Link(slot)));
+        link.idle.inspect(|at| works.deadlines.clear(*at, Due::Idle(slot)));
+        for hop in link.hops.into_values() {
+            let written = self.hops.get(hop).and_then(|hop| hop.written);
+            let ran = written.is_some_and(|from| link.output.passed() > from);
+            self.end(hop, if ran { HopEnd::Broken } else { HopEnd::Unreachable }, None, works);
+        }
+    }
+
+    pub fn all_written(&self) -> bool {
+        self.links.iter().all(|(_, link)| link.output.is_empty())
+    }
+}
+
+/// The load that an answer reports, by the names of the settings or those of the pages.
+fn signals(load: &str) -> Result<Signals, String> {
+    let figure = |names: [&str; 2]| {
+        let value = names.iter().find_map(|name| resp::field(load, name, (';', ':')));
+        value.map(|v| v.parse::<f64>().map_err(|_| format!("a load of {v}"))).transpose()
+    };
+    Ok(Signals {
+        busy: figure(["busy", "util"])?,
+        waiting: figure(["q", "queue"])?,
+        memory: figure(["x0", "x0"])?,
+        disks: figure(["x1", "x1"])?,
+    })
+}
--- /dev/null
+++ b/crates/router/src/front.rs
@@ -0,0 +1,559 @@
+//! The loop that owns the decisions and carries out what they say.
+
+use crate::bulletin::{Bulletin, Row, known};
+use crate::clients::{Clients, Heard, MOST_OPEN};
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::deadlines::{Deadlines, Due};
+use crate::engines::{Call, Engines, News};
+use crate::jsonrpc::{self, Objection};
+use crate::premises::{Premises, whole_ms};
+use crate::ring::Filled;
+use crate::slots::{Slot, Slots};
+use crate::statement;
+use crate::works::{Works, has_come_up};
+use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, Interest, Mode, PostAction};
+use emberflow::{Arrival, Ended, EngineId, HopEnd, Outlet, Router, TaskId};
+use emberflow_startup::{Fields, duties, fleet, from_ms, traffic};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Lines taken from one client in one turn of the loop.
+const LINES: usize = 64;
+/// The longest that a client's wait is believed to be.
+const LONGEST: Duration = Duration::from_secs(3600);
+/// The bulletin sends something each second; it is dialled again after so much silence, or so long after a
+/// failure.
+const SILENCE: Duration = Duration::from_millis(2500);
+const AGAIN: Duration = Duration::from_millis(200);
+/// A planned restart's figures: clients go on coming for a while, and SIGKILL comes no sooner than the other.
+const STRAGGLERS: Duration = Duration::from_millis(700);
+const KILLED: Duration = Duration::from_millis(3300);
+
+/// A task until it has been answered and has no hop out.
+struct Task {
+    number: TaskId,
+    client: Slot,
+    id: u64,
+    req: String,
+    class: usize,
+    opkey: Option<String>,
+    statement: Vec<u8>,
+    grant_mb: f64,
+    priority: u8,
+    hops: Vec<Slot>,
+    answered: bool,
+}
+
+pub struct Front {
+    router: Router,
+    floor: Floor,
+    bulletin: Bulletin,
+    /// Clients that have more to say than one turn took.
+    unheard: Vec<Slot>,
+    leaving: Option<Duration>,
+    left: bool,
+}
+
+/// What the decisions act on.
+struct Floor {
+    premises: Premises,
+    works: Works,
+    clients: Clients,
+    engines: Engines,
+    tasks: Slots<Task>,
+    numbers: BTreeMap<TaskId, Slot>,
+    next: TaskId,
+    serving: bool,
+}
+
+impl Outlet for Floor {
+    fn send(&mut self, task: TaskId, engine: EngineId, until: Duration) {
+        let Some(task) = self.numbers.get(&task).and_then(|slot| self.tasks.get_mut(*slot)) else { return };
+        self.works.counters.must(!task.answered, "a hop of an answered task");
+        let call = Call {
+            task: task.number,
+            number: task.hops.len(),
+            id: &task.req,
+            class: &self.premises.traffic[task.class],
+            opkey: task.opkey.as_deref(),
+            statement: &task.statement,
+            grant_mb: task.grant_mb,
+            priority: task.priority,
+            until,
+        };
+        let hop = self.engines.send(engine, call, &task.hops, &mut self.works);
+        task.hops.push(hop);
+    }
+    fn terms(&mut self, task: TaskId, grant_mb: f64, priority: u8) {
+        let Some(task) = self.numbers.get(&task).and_then(|slot| self.tasks.get_mut(*slot)) else { return };
+        if task.priority != priority {
+            for hop in &task.hops {
+                self.engines.rank(*hop, priority, &mut self.works);
+            }
+        }
+        (task.grant_mb, task.priority) = (grant_mb, priority);
+    }
+    fn cancel(&mut self, task: TaskId, hop: usize) {
+        let task = self.numbers.get(&task).and_then(|slot| self.tasks.get(*slot));
+        if let Some(hop) = task.and_then(|task| task.hops.get(hop)) {
+            self.engines.cancel(*hop, &mut self.works);
+        }
+    }
+    fn bounce(&mut self, task: TaskId, come_back: Option<Duration>) {
+        let holdoff = come_back.map(whole_ms).filter(|ms| *ms > 0);
+        self.answer(task, "tasks_bounced", |id| {
+            jsonrpc::error(Some(id), jsonrpc::BOUNCED, "bounced: a retry is harmless", holdoff)
+        });
+    }
+    fn give_up(&mut self, task: TaskId) {
+        self.answer(task, "tasks_given_up", |id| {
+            jsonrpc::error(Some(id), jsonrpc::GIVEN_UP, "given up: it may have run", None)
+        });
+    }
+    fn wake_after(&mut self, wait: Duration) {
+        self.works.deadlines.set(self.works.now() + wait, Due::Wake);
+    }
+    /// The bulletin tells its changes unasked.
+    fn watch(&mut self) {}
+}
+
+impl Floor {
+    /// The one final answer of a task.
+    fn answer(&mut self, task: TaskId, how: &'static str, line: impl Fn(u64) -> Vec<u8>) {
+        let Some(task) = self.numbers.get(&task).and_then(|slot| self.tasks.get_mut(*slot)) else { return };
+        self.works.counters.must(!task.answered, "a second answer");
+        if !std::mem::replace(&mut task.answered, true) {
+            self.works.counters.count(how);
+            let (client, id) = (task.client, task.id);
+            self.clients.answered(client, id);
+            // A connection that can't be written to tells so by itself.
+            if let Err(error) = self.clients.say(client, &line(id)) {
+                log::debug!("an answer did not leave: {error}");
+            }
+        }
+    }
+
+    fn forget(&mut self, number: TaskId) {
+        if let Some(slot) = self.numbers.get(&number).copied()
+            && self.tasks.get(slot).is_some_and(|task| task.answered)
+        {
+            self.numbers.remove(&number);
+            self.tasks.take(slot);
+        }
+    }
+}
+
+impl Front {
+    /// Serves until a planned restart ends it.
+    pub fn run(file: &Value, listen: Option<&str>) -> Result<(), String> {
+        let premises = Premises::read(file, listen)?;
+        let settings = Fields(file).part("settings")?;
+        let (fleet, traffic) = (fleet(premises.seed, settings)?, traffic(settings)?);
+        let duties = duties(settings)?;
+        let (last, events) = known(Fields(file), &premises)?;
+        let fault = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
+        let mut event_loop = EventLoop::try_new().map_err(|e| fault("the loop", &e))?;
+        let ear = event_loop.handle();
+        let stops = Signals::new(&[Signal::SIGTERM, Signal::SIGUSR1]).map_err(|e| fault("signals", &e))?;
+        let heard =
+            |event: calloop::signals::Event, _: &mut (), front: &mut Self| front.signal(event.signal());
+        ear.insert_source(stops, heard).map_err(|e| fault("signals", &e))?;
+        let listener = TcpListener::bind(premises.listen).map_err(|e| fault("listening", &e))?;
+        listener.set_nonblocking(true).map_err(|e| fault("listening", &e))?;
+        let listener = Rc::new(listener);
+        let source = Generic::new(Rc::clone(&listener), Interest::READ, Mode::Level);
+        let admits = move |_, _: &mut _, front: &mut Self| {
+            front.admit(&listener);
+            Ok(PostAction::Continue)
+        };
+        ear.insert_source(source, admits).map_err(|e| fault("listening", &e))?;
+        let clock = Clock::starting(duties.warm_up);
+        let (deadlines, counters) = (Deadlines::default(), Counters::default());
+        log::info!("{} listens on {}", premises.name, premises.listen);
+        let mut front = Self {
+            router: Router::new(fleet, traffic, duties),
+            bulletin: Bulletin::after(last),
+            unheard: Vec::new(),
+            leaving: None,
+            left: false,
+            floor: Floor {
+                clients: Clients { most_bytes: premises.most_bytes(), ..Clients::default() },
+                engines: Engines::new(&premises),
+                works: Works { clock, deadlines, counters, ear },
+                tasks: Slots::default(),
+                numbers: BTreeMap::new(),
+                next: 0,
+                serving: false,
+                premises,
+            },
+        };
+        for (whole, rows) in events {
+            front.listed(whole, &rows);
+        }
+        front.dial_bulletin();
+        while !front.left {
+            let floor = &front.floor;
+            let due = floor.works.deadlines.first().map(|at| at.saturating_sub(floor.works.now()));
+            let wait = if front.unheard.is_empty() { due } else { Some(Duration::ZERO) };
+            event_loop.dispatch(wait, &mut front).map_err(|e| fault("the loop", &e))?;
+            front.turn();
+        }
+        log::info!("counters at exit: {}", front.floor.works.counters);
+        Ok(())
+    }
+
+    /// What follows the sockets in each turn of the loop.
+    fn turn(&mut self) {
+        for slot in std::mem::take(&mut self.unheard) {
+            self.client_ready(slot);
+        }
+        while let Some(due) = self.floor.works.deadlines.pop(self.floor.works.now()) {
+            let now = self.floor.works.now();
+            let Floor { engines, works, .. } = &mut self.floor;
+            match due {
+                Due::Wake => self.router.wake(now, &mut self.floor),
+                Due::Hop(slot) => engines.overdue(slot, works),
+                Due::Link(slot) => engines.link_overdue(slot, now, works),
+                Due::Idle(slot) => engines.link_idle(slot, works),
+                Due::Bulletin if now >= self.bulletin.due => self.dial_bulletin(),
+                Due::Bulletin => {}
+                Due::Leave => self.leave(),
+            }
+            self.tell();
+        }
+    }
+
+    /// Tells the decisions what came of their hops, until nothing is new.
+    fn tell(&mut self) {
+        while let Some(news) = self.floor.engines.news.pop_front() {
+            let now = self.floor.works.now();
+            match news {
+                News::Noticed(task, hop, notice) => {
+                    self.router.notice(now, task, hop, notice, &mut self.floor);
+                }
+                News::Ended(ended, body) => self.ended(now, ended, body),
+            }
+        }
+    }
+
+    fn ended(&mut self, now: Duration, mut ended: Ended, body: Option<Vec<u8>>) {
+        let number = ended.task;
+        if let Some(body) = body {
+            let open = self.floor.numbers.get(&number).and_then(|slot| self.floor.tasks.get(*slot));
+            if open.is_some_and(|task| !task.answered) {
+                self.floor.answer(number, "tasks_succeeded", |id| jsonrpc::result(id, &body));
+            }
+        }
+        let slot = self.floor.numbers.get(&number).copied();
+        let answered = slot.and_then(|slot| self.floor.tasks.get(slot)).is_none_or(|task| task.answered);
+        ended.over = answered;
+        self.floor
+            .works
+            .counters
+            .must(ended.end != HopEnd::Succeeded || answered, "a result without its answer");
+        self.router.hop_ended(now, ended, &mut self.floor);
+        self.floor.forget(number);
+    }
+
+    // ---- clients ----
+
+    fn admit(&mut self, listener: &TcpListener) {
+        let floor = &mut self.floor;
+        loop {
+            match listener.accept() {
+                Ok((socket, _)) if floor.clients.table.len() >= floor.premises.most_clients() => {
+                    floor.works.counters.count("clients_over_the_limit");
+                    drop(socket);
+                }
+                Ok((socket, _)) => {
+                    let slot = floor.clients.table.next();
+                    match floor.works.attend(socket, move |front| front.client_ready(slot)) {
+                        Ok(wire) => {
+                            floor.clients.admit(wire);
+                            floor.works.counters.count("clients_admitted");
+                            self.unheard.push(slot);
+                        }
+                        Err(error) => {
+                            floor.works.counters.count("clients_not_admitted");
+                            log::warn!("a client was not admitted: {error}");
+                        }
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) => {
+                    floor.works.counters.count("accept_failed");
+                    log::warn!("accept: {error}");
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(crate) fn client_ready(&mut self, slot: Slot) {
+        if self.floor.clients.flush(slot).is_err() {
+            return self.client_gone(slot);
+        }
+        for _ in 0..LINES {
+            match self.floor.clients.hear(slot) {
+                Heard::Line(line) => {
+                    if let Err((id, code, message)) = self.line(slot, &line) {
+                        self.object(slot, id, code, &message);
+                    }
+                    self.tell();
+                }
+                Heard::TooLong => self.object(slot, None, jsonrpc::PARSE, "a line without end"),
+                Heard::Closed => return self.client_gone(slot),
+                Heard::Nothing => {
+                    if self.floor.clients.is_done(slot) {
+                        self.client_gone(slot);
+                    }
+                    return;
+                }
+            }
+        }
+        self.unheard.push(slot);
+    }
+
+    fn object(&mut self, slot: Slot, id: Option<u64>, code: i64, message: &str) {
+        self.floor.works.counters.count("client_input_refused");
+        log::debug!("refused from a client: {message}");
+        if self.floor.clients.say(slot, &jsonrpc::error(id, code, message, None)).is_err() {
+            self.client_gone(slot);
+        }
+    }
+
+    fn line(&mut self, slot: Slot, line: &[u8]) -> Result<(), Objection> {
+        let now = self.floor.works.now();
+        let (id, method, params) = jsonrpc::request(line)?;
+        let invalid = |what: &str| (id, jsonrpc::INVALID, what.to_owned());
+        if method == "status" {
+            let id = id.ok_or_else(|| invalid("`status` without an id"))?;
+            let serving = self.floor.serving && self.leaving.is_none();
+            if self.floor.clients.say(slot, &jsonrpc::status(id, serving)).is_err() {
+                self.client_gone(slot);
+            }
+            return Ok(());
+        }
+        let fields = Fields(&params);
+        let wrong = |what: String| (id, jsonrpc::BAD_PARAMS, what);
+        if method == "withdraw" {
+            log::debug!("withdraw: {}", String::from_utf8_lossy(line));
+            let req = fields.text("req").unwrap_or_default();
+            let other = fields.whole("id").ok();
+            let Some(client) = self.floor.clients.table.get(slot) else { return Ok(()) };
+            let floor = &self.floor;
+            let named = |number: &TaskId| {
+                let task = floor.numbers.get(number).and_then(|slot| floor.tasks.get(*slot));
+                task.is_some_and(|task| task.req == req || Some(task.id) == other)
+            };
+            if let Some(task) = client.open.values().copied().find(named) {
+                self.withdraw(now, task);
+            }
+            return Ok(());
+        }
+        let class = self.floor.premises.traffic.iter().position(|name| *name == method);
+        let class = class.ok_or_else(|| (id, jsonrpc::NO_METHOD, format!("no method `{method}`")))?;
+        let id = id.ok_or_else(|| invalid("a task without an id"))?;
+        let Some(client) = self.floor.clients.table.get(slot) else { return Ok(()) };
+        if client.open.contains_key(&id) {
+            return Err(invalid("`id` is open already"));
+        }
+        if client.open.len() >= MOST_OPEN {
+            return Err(invalid("too many open requests"));
+        }
+        let req = fields.text("req").map_err(wrong)?;
+        if req.len() != 16 || !req.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(wrong("`req` is not 16 hex digits".into()));
+        }
+        let opkey = fields.maybe("opkey").map(|_| fields.text("opkey")).transpose().map_err(wrong)?;
+        if opkey.is_some_and(|key| key.bytes().any(|b| !b.is_ascii_alphanumeric())) {
+            return Err(wrong("`opkey` holds more than letters and digits".into()));
+        }
+        let positive = |name: &str| match fields.maybe(name).map(|_| fields.number(name)).transpose() {
+            Ok(value) => Ok(value.filter(|v| *v > 0.0).map(|v| v.min(1e9))),
+            Err(fault) => Err(wrong(fault)),
+        };
+        let patience = positive("timeout")?.ok_or_else(|| wrong("`timeout` is missing".into()))?;
+        let (cost, memory_mb) = (positive("ms")?.map(from_ms).filter(|c| !c.is_zero()), positive("memory")?);
+        let body = jsonrpc::body(fields.text("data").map_err(wrong)?);
+        let statement = body.ok_or_else(|| wrong("`data` is not base64".into()))?;
+        let resent = match fields.maybe("resent") {
+            None | Some(Value::Bool(false)) => false,
+            Some(value) => value.as_u64() != Some(0),
+        };
+        let floor = &mut self.floor;
+        let number = floor.next;
+        floor.next += 1;
+        floor.works.counters.count("tasks_taken");
+        let arrival = Arrival {
+            task: number,
+            traffic: class,
+            key: None,
+            cost,
+            memory_mb,
+            patience: from_ms(patience).min(LONGEST),
+            later_try: floor.premises.marks_retries.then_some(resent),
+            group: std::str::from_utf8(&statement).ok().and_then(statement::group),
+        };
+        let row = floor.tasks.insert(Task {
+            number,
+            client: slot,
+            id,
+            req: req.to_owned(),
+            class,
+            opkey: opkey.map(str::to_owned),
+            statement,
+            grant_mb: 0.0,
+            priority: 1,
+            hops: Vec::new(),
+            answered: false,
+        });
+        floor.numbers.insert(number, row);
+        if let Some(client) = floor.clients.table.get_mut(slot) {
+            client.open.insert(id, number);
+        }
+        self.router.accept(now, arrival, floor);
+        self.settled(number);
+        Ok(())
+    }
+
+    /// Forgets a task that has been answered and has no hop out.
+    fn settled(&mut self, number: TaskId) {
+        let floor = &self.floor;
+        let task = floor.numbers.get(&number).and_then(|slot| floor.tasks.get(*slot));
+        if task.is_some_and(|task| task.answered && task.hops.is_empty()) {
+            self.floor.forget(number);
+        }
+    }
+
+    /// No answer is owed any more: what is out for the task is given up.
+    fn withdraw(&mut self, now: Duration, number: TaskId) {
+        let floor = &mut self.floor;
+        let Some(task) = floor.numbers.get(&number).and_then(|slot| floor.tasks.get_mut(*slot)) else {
+            return;
+        };
+        if std::mem::replace(&mut task.answered, true) {
+            return;
+        }
+        floor.works.counters.count("tasks_withdrawn");
+        let (client, id, hops) = (task.client, task.id, task.hops.clone());
+        floor.clients.answered(client, id);
+        self.router.client_left(now, number, floor);
+        for hop in &hops {
+            self.floor.engines.cancel(*hop, &mut self.floor.works);
+        }
+        if self.floor.engines.news.is_empty() {
+            self.floor.forget(number);
+        }
+        self.tell();
+    }
+
+    fn client_gone(&mut self, slot: Slot) {
+        let Some(client) = self.floor.clients.table.take(slot) else { return };
+        let now = self.floor.works.now();
+        for task in client.open.into_values() {
+            self.withdraw(now, task);
+        }
+    }
+
+    // ---- engines and their list ----
+
+    pub(crate) fn link_ready(&mut self, slot: Slot) {
+        let Floor { engines, works, .. } = &mut self.floor;
+        engines.ready(slot, works);
+        self.tell();
+    }
+
+    fn listed(&mut self, whole: bool, rows: &[Row]) {
+        let Floor { engines, works, .. } = &mut self.floor;
+        let listings: Vec<_> = rows.iter().map(|row| engines.listed(row, works)).collect();
+        self.floor.serving |= listings.iter().any(|row| row.ready);
+        self.floor.works.counters.count("list_events");
+        let now = self.floor.works.now();
+        self.router.engines_changed(now, whole, listings, &mut self.floor);
+        self.tell();
+    }
+
+    fn dial_bulletin(&mut self) {
+        self.bulletin = Bulletin::after(self.bulletin.last);
+        let works = &mut self.floor.works;
+        self.bulletin.due = works.now() + SILENCE;
+        match works.dial(self.floor.premises.bulletin, |front| front.bulletin_ready()) {
+            Ok(wire) => self.bulletin.wire = Some(wire),
+            Err(_) => self.bulletin.due = works.now() + AGAIN,
+        }
+        works.counters.count("bulletin_dialled");
+        works.deadlines.set(self.bulletin.due, Due::Bulletin);
+    }
+
+    fn bulletin_ready(&mut self) {
+        if let Err(why) = self.read_bulletin() {
+            log::info!("bulletin: {why}");
+            let works = &mut self.floor.works;
+            works.counters.count("bulletin_lost");
+            self.bulletin.wire = None;
+            self.bulletin.due = works.now() + AGAIN;
+            works.deadlines.set(self.bulletin.due, Due::Bulletin);
+        }
+    }
+
+    fn read_bulletin(&mut self) -> Result<(), String> {
+        loop {
+            let Some(wire) = &self.bulletin.wire else { return Ok(()) };
+            let socket = Rc::clone(&wire.socket);
+            if !self.bulletin.greeted {
+                if !has_come_up(&socket).map_err(|e| e.to_string())? {
+                    return Ok(());
+                }
+                let last = self.bulletin.last.to_be_bytes();
+                io::Write::write_all(&mut &*socket, &last).map_err(|e| e.to_string())?;
+                self.bulletin.greeted = true;
+            }
+            let filled = self.bulletin.input.fill(&mut &*socket, 1 << 21).map_err(|e| e.to_string())?;
+            while let Some((number, rows)) = self.bulletin.next()? {
+                let works = &mut self.floor.works;
+                self.bulletin.due = works.now() + SILENCE;
+                works.deadlines.set(self.bulletin.due, Due::Bulletin);
+                if let Some((whole, rows)) = rows {
+                    log::info!("bulletin: event {number} with {} engines", rows.len());
+                    self.listed(whole, &rows);
+                }
+            }
+            match filled {
+                Filled::Closed => return Err("closed".into()),
+                Filled::Drained => return Ok(()),
+                Filled::Enough => {}
+            }
+        }
+    }
+
+    // ---- the end ----
+
+    fn signal(&mut self, signal: Signal) {
+        log::info!("counters: {}", self.floor.works.counters);
+        if signal == Signal::SIGTERM && self.leaving.is_none() {
+            let works = &mut self.floor.works;
+            let now = works.now();
+            self.leaving = Some(now);
+            works.deadlines.set(now + STRAGGLERS, Due::Leave);
+        }
+    }
+
+    /// Ends once nothing is open, or SIGKILL is near.
+    fn leave(&mut self) {
+        let floor = &mut self.floor;
+        let now = floor.works.now();
+        let done = floor.tasks.is_empty() && floor.clients.all_said() && floor.engines.all_written();
+        let late = self.leaving.is_some_and(|since| now >= since + KILLED);
+        self.left = done || late;
+        floor.works.deadlines.set(now + Duration::from_millis(10), Due::Leave);
+    }
+}
--- /dev/null
+++ b/crates/router/src/premises.rs
@@ -0,0 +1,82 @@
+//! Where a router stands: what its configuration says beside the settings.
+
+use emberflow_startup::{Fault, Fields, to_ms};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub struct Premises {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub bulletin: SocketAddr,
+    pub seed: u64,
+    pub descriptors: usize,
+    pub memory: usize,
+    /// By their places in the settings.
+    pub locations: Vec<String>,
+    pub kinds: Vec<String>,
+    pub traffic: Vec<String>,
+    pub marks_retries: bool,
+    /// Of a connection to an engine: what it carries, how soon it must come up, when the engine closes it.
+    pub streams: usize,
+    pub comes_up: Duration,
+    pub idle_close: Duration,
+}
+
+impl Premises {
+    pub fn read(file: &Value, listen: Option<&str>) -> Result<Self, Fault> {
+        let file = Fields(file);
+        let (limits, settings) = (file.part("limits")?, file.part("settings")?);
+        let caps = settings.part("caps")?;
+        let address = |name: &str, text: &str| {
+            text.parse().map_err(|_| format!("`{name}` is not an address with a port: {text}"))
+        };
+        let seed = file.text("seed")?;
+        let habits = settings.part("clientHabits");
+        Ok(Self {
+            name: file.text("name")?.to_owned(),
+            listen: address("listen", listen.map_or_else(|| file.text("listen"), Ok)?)?,
+            bulletin: address("bulletin", file.text("bulletin")?)?,
+            seed: u64::from_str_radix(seed, 16).map_err(|_| format!("`seed` is not hexadecimal: {seed}"))?,
+            descriptors: limits.index("sockets")?,
+            memory: limits.index("memory_mb")?.saturating_mul(1 << 20),
+            locations: names(settings, "zones")?,
+            kinds: names(settings, "kinds")?,
+            traffic: settings
+                .rows("categories")?
+                .iter()
+                .map(|row| Fields(row).text("name").map(str::to_owned))
+                .collect::<Result<_, _>>()?,
+            marks_retries: habits.is_ok_and(|habits| habits.maybe_flag("marksRetry")),
+            streams: caps.index("streamsPerConn")?.max(1),
+            comes_up: caps.time("connectTimeoutMs")?,
+            idle_close: caps.time("idleCloseMs")?,
+        })
+    }
+
+    /// Clients hold a third of the descriptors at most; as many are kept for engines, the rest for what
+    /// comes and goes between.
+    pub fn most_clients(&self) -> usize {
+        self.descriptors / 2
+    }
+
+    pub fn most_links(&self) -> usize {
+        self.descriptors / 3
+    }
+
+    /// Bytes that a client may have in one line, or unread among its answers: a quarter of the memory, over
+    /// all clients.
+    pub fn most_bytes(&self) -> usize {
+        self.memory / 4 / self.most_clients().max(1)
+    }
+}
+
+fn names(settings: Fields, list: &str) -> Result<Vec<String>, Fault> {
+    let text = |v: &Value| v.as_str().map(str::to_owned).ok_or_else(|| format!("`{list}` holds no names"));
+    settings.rows(list)?.iter().map(text).collect()
+}
+
+/// Whole milliseconds, for a line that has only those.
+pub fn whole_ms(time: Duration) -> u64 {
+    to_ms(time).floor() as u64
+}
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,9 +1,8 @@
 //! Hosts many instances of emberflow's router on the simulator's wire; it decides nothing.
 
-mod fields;
 mod instance;
 
-use fields::{Fault, Fields};
+use emberflow_startup::{Fault, Fields};
 use instance::Instance;
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, Write};
