--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -435,6 +435,15 @@
             signals: signals.or(told),
             over: false,
         };
+        log::debug!(
+            "task {} hop {} at engine {}: {end:?} after {:?}, bill {:?}, load {:?}",
+            ended.task,
+            ended.hop,
+            ended.engine,
+            ended.took,
+            ended.bill,
+            ended.signals
+        );
         self.news.push_back(News::Ended(ended, body));
     }
 
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -403,6 +403,12 @@
             later_try: floor.premises.marks_retries.then_some(resent),
             group: std::str::from_utf8(&statement).ok().and_then(statement::group),
         };
+        log::debug!(
+            "task {number} {req}: {method}, cost {cost:?}, memory {memory_mb:?} MB, group {:?}, patience {patience} ms, \
+             resent {resent}, key {opkey:?}",
+            arrival.group
+        );
+        log::trace!("task {number}: {:?}", String::from_utf8_lossy(&statement));
         let row = floor.tasks.insert(Task {
             number,
             client: slot,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -152,7 +152,7 @@
 }
 
 /// The load an engine reports about itself.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Signals {
     pub busy: Option<f64>,
     pub waiting: Option<f64>,
@@ -161,7 +161,7 @@
 }
 
 /// What a finished hop is billed.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub struct Bill {
     pub cost: Duration,
     pub memory_mb: f64,
