Tell the module when its process ends, and fold lines to make room

A planned restart ends the process while patience goes on; nothing told the module, so what was open would have been lost at SIGKILL (answer_in_time and refuse looked at held tasks and at patience alone).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -82,6 +82,7 @@
     accepted: VecDeque<Duration>,
     further: VecDeque<Duration>,
     wake_due: Duration,
+    closing: Duration,
     watched: bool,
     draws: u64,
 }
@@ -103,6 +104,7 @@
             accepted: VecDeque::new(),
             further: VecDeque::new(),
             wake_due: Duration::ZERO,
+            closing: Duration::MAX,
             watched: false,
             draws: 0,
         }
@@ -117,8 +119,7 @@
             learned.patiences.push(now, seconds(arrival.patience));
         }
         let usual = span(learned.patiences.median().unwrap_or(0.0));
-        let spent =
-            usual.saturating_sub(arrival.patience).mul_f64(f64::from(arrival.later_try != Some(false)));
+        let spent = usual.saturating_sub(arrival.patience) * u32::from(arrival.later_try != Some(false));
         let key = arrival.key.filter(|_| traffic.keeps_order);
         let cost = match arrival.cost.map(seconds) {
             Some(told) => told * learned.cost_ratios.median().unwrap_or(1.0),
@@ -138,8 +139,8 @@
             },
             group: arrival.group,
             arrived: now,
-            target: target.saturating_sub(spent).min(now + arrival.patience),
-            patience: now + arrival.patience,
+            target: target.saturating_sub(spent).min(now + arrival.patience).min(self.closing),
+            patience: (now + arrival.patience).min(self.closing),
             over: false,
             hops: Vec::new(),
         };
@@ -221,9 +222,8 @@
                 _ => {}
             }
             let spills = self.fleet.cuts_grants && matches!(notice, Notice::Spills(_));
-            if spills || notice == Notice::WaitsForMemory {
-                engine.refused = Some(now);
-            }
+            let short = spills || notice == Notice::WaitsForMemory;
+            engine.refused = short.then_some(now).or(engine.refused);
         }
         self.settle(now, out);
     }
@@ -249,6 +249,15 @@
         self.settle(now, out);
     }
 
+    /// The process ends at `by`: nobody waits longer than that.
+    pub fn closing(&mut self, now: Duration, by: Duration, out: &mut impl Outlet) {
+        self.closing = by;
+        let cut =
+            |task: &mut Task| (task.patience, task.target) = (task.patience.min(by), task.target.min(by));
+        self.tasks.values_mut().for_each(cut);
+        self.settle(now, out);
+    }
+
     pub fn list_failed(&mut self, now: Duration, out: &mut impl Outlet) {
         self.watched = false;
         self.settle(now, out);
@@ -526,9 +535,8 @@
         let usual = || mean((0..self.traffic.len()).map(|traffic| self.density(traffic))).unwrap_or(0.0);
         let traffic = &self.traffic[task.traffic];
         // What an earlier note promised and has not come does not count.
-        let finish = task.hops.last().and_then(|hop| hop.finish).filter(|at| *at > now);
-        let usual_left = || self.usual_cost(task.traffic);
-        let left = || finish.map_or_else(usual_left, |at| seconds(at - now) * traffic.threads);
+        let due = task.hops.last().and_then(|hop| hop.finish).filter(|at| *at > now);
+        let left = || due.map_or(self.usual_cost(task.traffic), |at| seconds(at - now) * traffic.threads);
         now > task.target && traffic.late_share * traffic.revenue < usual() / 4.0 * left()
     }
 
@@ -559,23 +567,19 @@
         hasher.finish()
     }
 
-    fn held(&self) -> Vec<TaskId> {
-        self.tasks.iter().filter(|(_, task)| task.held()).map(|(id, _)| *id).collect()
-    }
-
-    /// Answers the held tasks that `hopeless` names.
+    /// Answers the open tasks that `hopeless` names.
     fn refuse(&mut self, hopeless: impl Fn(&Self, &Task) -> bool, out: &mut impl Outlet) -> bool {
         let come_back = self.duties.longest_come_back.map(|longest| self.beat().min(longest));
-        let mut held = self.held();
-        held.retain(|id| hopeless(self, &self.tasks[id]));
-        for id in &held {
+        let open = self.tasks.iter().filter(|(_, task)| !task.over && hopeless(self, task));
+        let open: Vec<TaskId> = open.map(|(id, _)| *id).collect();
+        for id in &open {
             match self.may_bounce(&self.tasks[id]) {
                 true => out.bounce(*id, come_back),
                 false => out.give_up(*id),
             }
             self.tasks.entry(*id).and_modify(|task| task.over = true);
         }
-        !held.is_empty()
+        !open.is_empty()
     }
 
     fn take_back(&mut self, mut hops: Vec<(TaskId, usize)>, out: &mut impl Outlet) -> bool {
@@ -627,9 +631,7 @@
         let gone: BTreeSet<TaskId> = self.tasks.iter().filter(|(_, t)| over(t)).map(|(id, _)| *id).collect();
         self.tasks.retain(|id, _| !gone.contains(id));
         if !gone.is_empty() {
-            for line in self.lines.values_mut() {
-                line.tasks.retain(|id| !gone.contains(id));
-            }
+            self.lines.values_mut().for_each(|line| line.tasks.retain(|id| !gone.contains(id)));
             let resting = |line: &Line| line.rest.is_some_and(|(_, until)| until > now);
             self.lines.retain(|_, line| !line.tasks.is_empty() || resting(line));
         }
@@ -642,12 +644,13 @@
         !gone.is_empty()
     }
 
-    /// One final answer before patience ends, and at once where no further hop is allowed.
+    /// One final answer before patience ends, or the process, and at once where no further hop is allowed.
     fn answer_in_time(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
         let hopeless = |router: &Self, task: &Task| {
-            let late = now + router.margin() * 3 >= task.patience;
+            let soon = now + router.margin() * 3;
             let again = || router.may_run_again(task, now) && !router.earns_little_late(task, now);
-            late || !task.hops.is_empty() && !again()
+            let hopeless = soon >= task.patience || !task.hops.is_empty() && !again();
+            soon >= router.closing || task.held() && hopeless
         };
         self.refuse(hopeless, out)
     }
@@ -662,8 +665,7 @@
             if self.take_back(hops, out) {
                 // It would look free once its hops are taken back.
                 let engine = self.engines.get_mut(id).expect("a seen engine");
-                engine.bad.push(now, 1.0);
-                engine.bad.push(now, 1.0);
+                (0..2).for_each(|_| engine.bad.push(now, 1.0));
                 fired = true;
             }
         }
@@ -698,7 +700,7 @@
 
     /// The ordinary path: held tasks leave earliest first per tier, to the engine with most free room.
     fn release(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
-        let held = self.held();
+        let held = self.tasks.iter().filter(|(_, task)| task.held()).map(|(id, _)| *id).collect::<Vec<_>>();
         if held.is_empty() {
             return false;
         }
@@ -793,7 +795,7 @@
             let tiers = sight.gateways.iter().map(|gateway| gateway.tier(memory));
             let hold = HOLD[tiers.min().unwrap_or(Tier::Largest) as usize];
             let time_out = task.arrived + task.target.saturating_sub(task.arrived).mul_f64(hold);
-            now + run > task.target || now > time_out
+            task.held() && (now + run > task.target || now > time_out)
         };
         self.refuse(hopeless, out)
     }
@@ -804,8 +806,8 @@
             out.watch();
         }
         // What waits to be sent is looked at more often than what is out.
-        let wait =
-            if self.held().is_empty() { self.beat() / 8 } else { Duration::ZERO }.max(self.fleet.tick * 8);
+        let held = self.tasks.values().any(Task::held);
+        let wait = if held { Duration::ZERO } else { self.beat() / 8 }.max(self.fleet.tick * 8);
         if !self.tasks.is_empty() && (self.wake_due <= now || self.wake_due > now + wait) {
             self.wake_due = now + wait;
             out.wake_after(wait);
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -160,6 +160,11 @@
         self
     }
 
+    pub fn closing(&mut self, by: u64) -> &mut Self {
+        self.router.closing(ms(self.lines.1), ms(by), &mut self.lines);
+        self
+    }
+
     pub fn list_failed(&mut self) -> &mut Self {
         self.router.list_failed(ms(self.lines.1), &mut self.lines);
         self
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -441,3 +441,26 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn before_the_process_ends_each_task_gets_the_answer_that_its_effect_allows() {
+    let mut trace = Trace::new(1, |_, _, _| {});
+    trace.accept(0, 100, 300.0).accept(1, 900, 300.0).accept(2, 900, 300.0);
+    trace.at(200).closing(3700).ended(0, 0, 0, HopEnd::Succeeded).at(600).accept(0, 100, 300.0).wait(3700);
+    expect![[r#"
+        0     task 0 gets 375 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        0     task 1 gets 375 MB, priority 1
+        0     task 1 to engine 0 until 15980
+        0     task 2 gets 375 MB, priority 1
+        0     task 2 to engine 0 until 23980
+        600   task 3 gets 375 MB, priority 1
+        600   task 3 to engine 0 until 3680
+        1720  cancel task 1 hop 0
+        1720  cancel task 3 hop 0
+        3640  bounce task 1, back after 400
+        3640  give up task 2
+        3640  bounce task 3, back after 400
+    "#]]
+    .assert_eq(&trace.decided());
+}
