Carry planned restarts to the module; bound clients' memory and connections

Seen by reading: tasks bounced while held were never forgotten (settled looked at tasks without hops, at accept only), and a first answer with a hop out left the hop running. A task now leaves the table with its answer, which gives up what is still out.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -7,6 +7,7 @@
 use emberflow::TaskId;
 use std::collections::BTreeMap;
 use std::io;
+use std::time::Duration;
 
 /// Open tasks that a connection carries.
 pub const MOST_OPEN: usize = 32;
@@ -19,6 +20,8 @@
     scanned: usize,
     /// By the id on this connection.
     pub open: BTreeMap<u64, TaskId>,
+    /// When it last had something to say or was answered.
+    active: Duration,
     /// Nothing more is read; it closes once all is answered.
     deaf: bool,
 }
@@ -27,6 +30,8 @@
 pub enum Heard {
     Line(Vec<u8>),
     TooLong,
+    /// Read and thrown away.
+    Passed,
     Nothing,
     Closed,
 }
@@ -34,27 +39,50 @@
 #[derive(Default)]
 pub struct Clients {
     pub table: Slots<Client>,
+    /// In one line, and unread among the answers to all.
     pub most_bytes: usize,
+    pub most_owed: usize,
 }
 
 impl Clients {
-    pub fn admit(&mut self, wire: Wire) -> Slot {
+    pub fn admit(&mut self, wire: Wire, now: Duration) -> Slot {
         let (input, output, open) = (Ring::default(), Ring::default(), BTreeMap::new());
-        self.table.insert(Client { wire, input, output, scanned: 0, open, deaf: false })
+        self.table.insert(Client { wire, input, output, scanned: 0, open, active: now, deaf: false })
+    }
+
+    /// Of those that wait for nothing, the one that has for longest.
+    pub fn idlest(&self) -> Option<Slot> {
+        let idle = self.table.iter().filter(|(_, c)| c.open.is_empty() && c.output.is_empty());
+        idle.min_by_key(|(_, client)| client.active).map(|(slot, _)| slot)
+    }
+
+    /// Where more is unread among the answers than the memory bears: the client that reads least of them.
+    pub fn swollen(&self) -> Option<Slot> {
+        let owed: usize = self.table.iter().map(|(_, client)| client.output.len()).sum();
+        let most = self.table.iter().max_by_key(|(_, client)| client.output.len());
+        most.filter(|_| owed > self.most_owed).map(|(slot, _)| slot)
     }
 
     /// The next line. A client that does not read its answers is not read from either.
-    pub fn hear(&mut self, slot: Slot) -> Heard {
+    pub fn hear(&mut self, slot: Slot, now: Duration) -> Heard {
         let most = self.most_bytes;
         let Some(client) = self.table.get_mut(slot) else { return Heard::Nothing };
         loop {
-            if client.deaf || client.output.len() > most {
+            if client.output.len() > most {
                 return Heard::Nothing;
             }
+            if client.deaf {
+                client.input.consume(client.input.len());
+                return match client.input.fill(&mut &*client.wire.socket, most) {
+                    Ok(Filled::Enough) => Heard::Passed,
+                    Ok(Filled::Drained) => Heard::Nothing,
+                    Ok(Filled::Closed) | Err(_) => Heard::Closed,
+                };
+            }
             if let Some((line, length)) = jsonrpc::line(client.input.readable(), client.scanned) {
                 let line = line.to_vec();
                 client.input.consume(length);
-                client.scanned = 0;
+                (client.scanned, client.active) = (0, now);
                 return Heard::Line(line);
             }
             client.scanned = client.input.len();
--- a/crates/router/src/deadlines.rs
+++ b/crates/router/src/deadlines.rs
@@ -16,6 +16,8 @@
     Idle(Slot),
     /// The bulletin must have sent something, or is dialled again.
     Bulletin,
+    /// New connections are accepted again.
+    Admit,
     /// A planned restart may end.
     Leave,
 }
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -14,8 +14,8 @@
 use crate::works::{Works, has_come_up};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
-use calloop::{EventLoop, Interest, Mode, PostAction};
-use emberflow::{Arrival, Ended, EngineId, HopEnd, Outlet, Router, TaskId};
+use calloop::{EventLoop, Interest, Mode, PostAction, RegistrationToken};
+use emberflow::{Arrival, Ended, EngineId, Outlet, Router, TaskId};
 use emberflow_startup::{Fields, duties, fleet, from_ms, traffic};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -32,11 +32,16 @@
 /// failure.
 const SILENCE: Duration = Duration::from_millis(2500);
 const AGAIN: Duration = Duration::from_millis(200);
-/// A planned restart's figures: clients go on coming for a while, and SIGKILL comes no sooner than the other.
+/// After SIGTERM clients go on coming for so long. SIGKILL comes as long after the longest patience, of which
+/// no more than the second figure counts.
 const STRAGGLERS: Duration = Duration::from_millis(700);
-const KILLED: Duration = Duration::from_millis(3300);
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+/// How often an end is looked for.
+const LOOK: Duration = Duration::from_millis(10);
+/// New connections wait so long where there is no room.
+const PAUSE: Duration = Duration::from_millis(50);
 
-/// A task until it has been answered and has no hop out.
+/// A task until it has been answered.
 struct Task {
     number: TaskId,
     client: Slot,
@@ -48,7 +53,6 @@
     grant_mb: f64,
     priority: u8,
     hops: Vec<Slot>,
-    answered: bool,
 }
 
 pub struct Front {
@@ -57,8 +61,12 @@
     bulletin: Bulletin,
     /// Clients that have more to say than one turn took.
     unheard: Vec<Slot>,
+    /// When the process ends at the latest, once that is planned.
     leaving: Option<Duration>,
     left: bool,
+    door: RegistrationToken,
+    /// The longest patience of any traffic type.
+    longest: Duration,
 }
 
 /// What the decisions act on.
@@ -70,13 +78,16 @@
     tasks: Slots<Task>,
     numbers: BTreeMap<TaskId, Slot>,
     next: TaskId,
+    /// Of the statements of all open tasks.
+    held_bytes: usize,
     serving: bool,
 }
 
 impl Outlet for Floor {
     fn send(&mut self, task: TaskId, engine: EngineId, until: Duration) {
-        let Some(task) = self.numbers.get(&task).and_then(|slot| self.tasks.get_mut(*slot)) else { return };
-        self.works.counters.must(!task.answered, "a hop of an answered task");
+        let Some(task) = self.numbers.get(&task).and_then(|slot| self.tasks.get_mut(*slot)) else {
+            return self.works.counters.must(false, "a_hop_of_an_answered_task");
+        };
         let call = Call {
             task: task.number,
             number: task.hops.len(),
@@ -108,14 +119,14 @@
     }
     fn bounce(&mut self, task: TaskId, come_back: Option<Duration>) {
         let holdoff = come_back.map(whole_ms).filter(|ms| *ms > 0);
-        self.answer(task, "tasks_bounced", |id| {
-            jsonrpc::error(Some(id), jsonrpc::BOUNCED, "bounced: a retry is harmless", holdoff)
-        });
+        let line = |id| jsonrpc::error(Some(id), jsonrpc::BOUNCED, "bounced: a retry is harmless", holdoff);
+        let answered = self.answer(task, "tasks_bounced", line);
+        self.works.counters.must(answered, "a_second_answer");
     }
     fn give_up(&mut self, task: TaskId) {
-        self.answer(task, "tasks_given_up", |id| {
-            jsonrpc::error(Some(id), jsonrpc::GIVEN_UP, "given up: it may have run", None)
-        });
+        let line = |id| jsonrpc::error(Some(id), jsonrpc::GIVEN_UP, "given up: it may have run", None);
+        let answered = self.answer(task, "tasks_given_up", line);
+        self.works.counters.must(answered, "a_second_answer");
     }
     fn wake_after(&mut self, wait: Duration) {
         self.works.deadlines.set(self.works.now() + wait, Due::Wake);
@@ -125,28 +136,27 @@
 }
 
 impl Floor {
-    /// The one final answer of a task.
-    fn answer(&mut self, task: TaskId, how: &'static str, line: impl Fn(u64) -> Vec<u8>) {
-        let Some(task) = self.numbers.get(&task).and_then(|slot| self.tasks.get_mut(*slot)) else { return };
-        self.works.counters.must(!task.answered, "a second answer");
-        if !std::mem::replace(&mut task.answered, true) {
-            self.works.counters.count(how);
-            let (client, id) = (task.client, task.id);
-            self.clients.answered(client, id);
-            // A connection that can't be written to tells so by itself.
-            if let Err(error) = self.clients.say(client, &line(id)) {
-                log::debug!("an answer did not leave: {error}");
-            }
+    /// The one final answer of a task; tells whether it was still owed.
+    fn answer(&mut self, number: TaskId, how: &'static str, line: impl Fn(u64) -> Vec<u8>) -> bool {
+        let Some(task) = self.close(number, how) else { return false };
+        // A connection that can't be written to tells so by itself.
+        if let Err(error) = self.clients.say(task.client, &line(task.id)) {
+            log::debug!("an answer did not leave: {error}");
         }
+        true
     }
 
-    fn forget(&mut self, number: TaskId) {
-        if let Some(slot) = self.numbers.get(&number).copied()
-            && self.tasks.get(slot).is_some_and(|task| task.answered)
-        {
-            self.numbers.remove(&number);
-            self.tasks.take(slot);
+    /// Ends a task for the network; what is still out for it is given up, since nobody waits for it.
+    fn close(&mut self, number: TaskId, how: &'static str) -> Option<Task> {
+        let task = self.numbers.remove(&number).and_then(|slot| self.tasks.take(slot))?;
+        self.works.counters.count(how);
+        log::debug!("task {number}: {how}");
+        self.held_bytes -= task.statement.len();
+        self.clients.answered(task.client, task.id);
+        for hop in &task.hops {
+            self.engines.cancel(*hop, &mut self.works);
         }
+        Some(task)
     }
 }
 
@@ -157,6 +167,7 @@
         let settings = Fields(file).part("settings")?;
         let (fleet, traffic) = (fleet(premises.seed, settings)?, traffic(settings)?);
         let duties = duties(settings)?;
+        let longest = traffic.iter().map(|traffic| traffic.patience).max().unwrap_or_default();
         let (last, events) = known(Fields(file), &premises)?;
         let fault = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
         let mut event_loop = EventLoop::try_new().map_err(|e| fault("the loop", &e))?;
@@ -169,11 +180,8 @@
         listener.set_nonblocking(true).map_err(|e| fault("listening", &e))?;
         let listener = Rc::new(listener);
         let source = Generic::new(Rc::clone(&listener), Interest::READ, Mode::Level);
-        let admits = move |_, _: &mut _, front: &mut Self| {
-            front.admit(&listener);
-            Ok(PostAction::Continue)
-        };
-        ear.insert_source(source, admits).map_err(|e| fault("listening", &e))?;
+        let admits = move |_, _: &mut _, front: &mut Self| Ok(front.admit(&listener));
+        let door = ear.insert_source(source, admits).map_err(|e| fault("listening", &e))?;
         let clock = Clock::starting(duties.warm_up);
         let (deadlines, counters) = (Deadlines::default(), Counters::default());
         log::info!("{} listens on {}", premises.name, premises.listen);
@@ -183,13 +191,20 @@
             unheard: Vec::new(),
             leaving: None,
             left: false,
+            door,
+            longest,
             floor: Floor {
-                clients: Clients { most_bytes: premises.most_bytes(), ..Clients::default() },
+                clients: Clients {
+                    most_bytes: premises.most_bytes(),
+                    most_owed: premises.most_held_bytes(),
+                    ..Clients::default()
+                },
                 engines: Engines::new(&premises),
                 works: Works { clock, deadlines, counters, ear },
                 tasks: Slots::default(),
                 numbers: BTreeMap::new(),
                 next: 0,
+                held_bytes: 0,
                 serving: false,
                 premises,
             },
@@ -214,6 +229,10 @@
         for slot in std::mem::take(&mut self.unheard) {
             self.client_ready(slot);
         }
+        while let Some(slot) = self.floor.clients.swollen() {
+            self.floor.works.counters.count("clients_too_slow");
+            self.client_gone(slot);
+        }
         while let Some(due) = self.floor.works.deadlines.pop(self.floor.works.now()) {
             let now = self.floor.works.now();
             let Floor { engines, works, .. } = &mut self.floor;
@@ -224,6 +243,7 @@
                 Due::Idle(slot) => engines.link_idle(slot, works),
                 Due::Bulletin if now >= self.bulletin.due => self.dial_bulletin(),
                 Due::Bulletin => {}
+                Due::Admit => self.open_the_door(),
                 Due::Leave => self.leave(),
             }
             self.tell();
@@ -244,39 +264,31 @@
     }
 
     fn ended(&mut self, now: Duration, mut ended: Ended, body: Option<Vec<u8>>) {
-        let number = ended.task;
         if let Some(body) = body {
-            let open = self.floor.numbers.get(&number).and_then(|slot| self.floor.tasks.get(*slot));
-            if open.is_some_and(|task| !task.answered) {
-                self.floor.answer(number, "tasks_succeeded", |id| jsonrpc::result(id, &body));
-            }
+            // Not owed where the client has withdrawn in between.
+            self.floor.answer(ended.task, "tasks_succeeded", |id| jsonrpc::result(id, &body));
         }
-        let slot = self.floor.numbers.get(&number).copied();
-        let answered = slot.and_then(|slot| self.floor.tasks.get(slot)).is_none_or(|task| task.answered);
-        ended.over = answered;
-        self.floor
-            .works
-            .counters
-            .must(ended.end != HopEnd::Succeeded || answered, "a result without its answer");
+        ended.over = !self.floor.numbers.contains_key(&ended.task);
         self.router.hop_ended(now, ended, &mut self.floor);
-        self.floor.forget(number);
     }
 
     // ---- clients ----
 
-    fn admit(&mut self, listener: &TcpListener) {
-        let floor = &mut self.floor;
+    /// Takes new connections in. Where there is no room, the one that has been idle longest makes some;
+    /// where none is, new ones wait a little with the kernel.
+    fn admit(&mut self, listener: &TcpListener) -> PostAction {
         loop {
+            let full = self.floor.clients.table.len() >= self.floor.premises.most_clients();
+            if full && !self.make_room() {
+                return self.pause();
+            }
             match listener.accept() {
-                Ok((socket, _)) if floor.clients.table.len() >= floor.premises.most_clients() => {
-                    floor.works.counters.count("clients_over_the_limit");
-                    drop(socket);
-                }
                 Ok((socket, _)) => {
+                    let floor = &mut self.floor;
                     let slot = floor.clients.table.next();
                     match floor.works.attend(socket, move |front| front.client_ready(slot)) {
                         Ok(wire) => {
-                            floor.clients.admit(wire);
+                            floor.clients.admit(wire, floor.works.now());
                             floor.works.counters.count("clients_admitted");
                             self.unheard.push(slot);
                         }
@@ -286,29 +298,57 @@
                         }
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return PostAction::Continue,
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
                 Err(error) => {
-                    floor.works.counters.count("accept_failed");
+                    self.floor.works.counters.count("accepts_failed");
                     log::warn!("accept: {error}");
-                    return;
+                    if !self.make_room() {
+                        return self.pause();
+                    }
                 }
             }
         }
     }
 
+    fn make_room(&mut self) -> bool {
+        let idle = self.floor.clients.idlest();
+        if let Some(slot) = idle {
+            self.floor.works.counters.count("clients_closed_for_room");
+            self.client_gone(slot);
+        }
+        idle.is_some()
+    }
+
+    fn open_the_door(&mut self) {
+        if let Err(error) = self.floor.works.ear.enable(&self.door) {
+            log::error!("no connection is accepted any more: {error}");
+            self.floor.works.counters.must(false, "a_closed_door");
+        }
+    }
+
+    fn pause(&mut self) -> PostAction {
+        let works = &mut self.floor.works;
+        works.counters.count("accepts_paused");
+        works.deadlines.set(works.now() + PAUSE, Due::Admit);
+        PostAction::Disable
+    }
+
     pub(crate) fn client_ready(&mut self, slot: Slot) {
         if self.floor.clients.flush(slot).is_err() {
             return self.client_gone(slot);
         }
         for _ in 0..LINES {
-            match self.floor.clients.hear(slot) {
+            let now = self.floor.works.now();
+            match self.floor.clients.hear(slot, now) {
                 Heard::Line(line) => {
                     if let Err((id, code, message)) = self.line(slot, &line) {
                         self.object(slot, id, code, &message);
                     }
                     self.tell();
                 }
+                Heard::Passed => {}
                 Heard::TooLong => self.object(slot, None, jsonrpc::PARSE, "a line without end"),
                 Heard::Closed => return self.client_gone(slot),
                 Heard::Nothing => {
@@ -390,8 +430,14 @@
             Some(value) => value.as_u64() != Some(0),
         };
         let floor = &mut self.floor;
+        let bytes = floor.held_bytes + statement.len();
+        if floor.tasks.len() >= floor.premises.most_open || bytes > floor.premises.most_held_bytes() {
+            floor.works.counters.count("tasks_over_the_limit");
+            return Err((Some(id), jsonrpc::BOUNCED, "too many tasks are open".into()));
+        }
+        floor.held_bytes = bytes;
         let number = floor.next;
-        floor.next += 1;
+        floor.next = floor.next.wrapping_add(1);
         floor.works.counters.count("tasks_taken");
         let arrival = Arrival {
             task: number,
@@ -420,46 +466,21 @@
             grant_mb: 0.0,
             priority: 1,
             hops: Vec::new(),
-            answered: false,
         });
         floor.numbers.insert(number, row);
         if let Some(client) = floor.clients.table.get_mut(slot) {
             client.open.insert(id, number);
         }
         self.router.accept(now, arrival, floor);
-        self.settled(number);
         Ok(())
     }
 
-    /// Forgets a task that has been answered and has no hop out.
-    fn settled(&mut self, number: TaskId) {
-        let floor = &self.floor;
-        let task = floor.numbers.get(&number).and_then(|slot| floor.tasks.get(*slot));
-        if task.is_some_and(|task| task.answered && task.hops.is_empty()) {
-            self.floor.forget(number);
-        }
-    }
-
-    /// No answer is owed any more: what is out for the task is given up.
+    /// No answer is owed any more.
     fn withdraw(&mut self, now: Duration, number: TaskId) {
-        let floor = &mut self.floor;
-        let Some(task) = floor.numbers.get(&number).and_then(|slot| floor.tasks.get_mut(*slot)) else {
-            return;
-        };
-        if std::mem::replace(&mut task.answered, true) {
-            return;
-        }
-        floor.works.counters.count("tasks_withdrawn");
-        let (client, id, hops) = (task.client, task.id, task.hops.clone());
-        floor.clients.answered(client, id);
-        self.router.client_left(now, number, floor);
-        for hop in &hops {
-            self.floor.engines.cancel(*hop, &mut self.floor.works);
-        }
-        if self.floor.engines.news.is_empty() {
-            self.floor.forget(number);
+        if self.floor.close(number, "tasks_withdrawn").is_some() {
+            self.router.client_left(now, number, &mut self.floor);
+            self.tell();
         }
-        self.tell();
     }
 
     fn client_gone(&mut self, slot: Slot) {
@@ -548,18 +569,20 @@
         if signal == Signal::SIGTERM && self.leaving.is_none() {
             let works = &mut self.floor.works;
             let now = works.now();
-            self.leaving = Some(now);
+            let by = now + self.longest.min(LONGEST_COUNTED) + STRAGGLERS;
+            self.leaving = Some(by);
             works.deadlines.set(now + STRAGGLERS, Due::Leave);
+            self.router.closing(now, by, &mut self.floor);
+            self.tell();
         }
     }
 
-    /// Ends once nothing is open, or SIGKILL is near.
+    /// Ends once nothing is open, or when SIGKILL may come.
     fn leave(&mut self) {
         let floor = &mut self.floor;
         let now = floor.works.now();
         let done = floor.tasks.is_empty() && floor.clients.all_said() && floor.engines.all_written();
-        let late = self.leaving.is_some_and(|since| now >= since + KILLED);
-        self.left = done || late;
-        floor.works.deadlines.set(now + Duration::from_millis(10), Due::Leave);
+        self.left = done || self.leaving.is_some_and(|by| now >= by);
+        floor.works.deadlines.set(now + LOOK, Due::Leave);
     }
 }
--- a/crates/router/src/premises.rs
+++ b/crates/router/src/premises.rs
@@ -17,6 +17,7 @@
     pub kinds: Vec<String>,
     pub traffic: Vec<String>,
     pub marks_retries: bool,
+    pub most_open: usize,
     /// Of a connection to an engine: what it carries, how soon it must come up, when the engine closes it.
     pub streams: usize,
     pub comes_up: Duration,
@@ -48,6 +49,7 @@
                 .map(|row| Fields(row).text("name").map(str::to_owned))
                 .collect::<Result<_, _>>()?,
             marks_retries: habits.is_ok_and(|habits| habits.maybe_flag("marksRetry")),
+            most_open: caps.maybe_number("maxOpen").map_or(usize::MAX, |most| most as usize).max(1),
             streams: caps.index("streamsPerConn")?.max(1),
             comes_up: caps.time("connectTimeoutMs")?,
             idle_close: caps.time("idleCloseMs")?,
@@ -64,10 +66,14 @@
         self.descriptors / 3
     }
 
-    /// Bytes that a client may have in one line, or unread among its answers: a quarter of the memory, over
-    /// all clients.
+    /// Bytes that a client may have in one line: a quarter of the memory, over all clients.
     pub fn most_bytes(&self) -> usize {
-        self.memory / 4 / self.most_clients().max(1)
+        self.most_held_bytes() / self.most_clients().max(1)
+    }
+
+    /// Bytes of all statements that are open, and of all answers that are unread: a quarter of the memory.
+    pub fn most_held_bytes(&self) -> usize {
+        self.memory / 4
     }
 }
 
