Test the codecs at every split, check what a configuration says, read tables where they stand

An alias's column (o_2.id) was taken for a schema: groups now come from where a table is named. Rows of the bulletin with a kind or location that the settings lack would have stopped the module (an index out of range in logic.rs, called from Front::listed): such a frame is malformed now.

--- a/crates/router/src/bulletin.rs
+++ b/crates/router/src/bulletin.rs
@@ -37,17 +37,38 @@
     pub last: u64,
     /// When the connection is given up, or dialled again.
     pub due: Duration,
+    /// How many kinds and locations the settings name.
+    kinds: usize,
+    locations: usize,
 }
 
 impl Bulletin {
-    pub fn after(last: u64) -> Self {
-        Self { wire: None, input: Ring::default(), greeted: false, last, due: Duration::ZERO }
+    pub fn after(last: u64, premises: &Premises) -> Self {
+        let (kinds, locations) = (premises.kinds.len(), premises.locations.len());
+        Self {
+            wire: None,
+            input: Ring::default(),
+            greeted: false,
+            last,
+            due: Duration::ZERO,
+            kinds,
+            locations,
+        }
+    }
+
+    /// A new connection, after the same event.
+    pub fn anew(&self) -> Self {
+        Self { wire: None, input: Ring::default(), greeted: false, ..*self }
     }
 
-    /// The next whole frame, checked against the last number.
-    pub fn next(&mut self) -> Result<Option<Frame>, String> {
+    /// The next whole frame, checked against the last number and the settings.
+    pub fn take(&mut self) -> Result<Option<Frame>, String> {
         let Some((frame, length)) = parse(self.input.readable())? else { return Ok(None) };
         self.input.consume(length);
+        let mut rows = frame.1.iter().flat_map(|(_, rows)| rows);
+        if let Some(row) = rows.find(|row| row.kind >= self.kinds || row.location >= self.locations) {
+            return Err(format!("an engine of kind {} in location {}", row.kind, row.location));
+        }
         match &frame {
             (number, None) if *number > self.last => Err(format!("event {number} without those before it")),
             (number, None) if *number < self.last => Err(format!("event {number} after {}", self.last)),
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -1,13 +1,13 @@
 //! The loop that owns the decisions and carries out what they say.
 
-use crate::bulletin::{Bulletin, Row, known};
+use crate::bulletin::{Bulletin, Row};
 use crate::clients::{Clients, Heard, MOST_OPEN};
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::deadlines::{Deadlines, Due};
 use crate::engines::{Call, Engines, News};
 use crate::jsonrpc::{self, Objection};
-use crate::premises::{Premises, whole_ms};
+use crate::premises::{Briefing, Premises, whole_ms};
 use crate::ring::Filled;
 use crate::slots::{Slot, Slots};
 use crate::statement;
@@ -16,7 +16,7 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction, RegistrationToken};
 use emberflow::{Arrival, Ended, EngineId, Outlet, Router, TaskId};
-use emberflow_startup::{Fields, duties, fleet, from_ms, traffic};
+use emberflow_startup::{Fields, from_ms};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io;
@@ -162,13 +162,9 @@
 
 impl Front {
     /// Serves until a planned restart ends it.
-    pub fn run(file: &Value, listen: Option<&str>) -> Result<(), String> {
-        let premises = Premises::read(file, listen)?;
-        let settings = Fields(file).part("settings")?;
-        let (fleet, traffic) = (fleet(premises.seed, settings)?, traffic(settings)?);
-        let duties = duties(settings)?;
+    pub fn run(briefing: Briefing) -> Result<(), String> {
+        let Briefing { premises, fleet, traffic, duties, last, events } = briefing;
         let longest = traffic.iter().map(|traffic| traffic.patience).max().unwrap_or_default();
-        let (last, events) = known(Fields(file), &premises)?;
         let fault = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
         let mut event_loop = EventLoop::try_new().map_err(|e| fault("the loop", &e))?;
         let ear = event_loop.handle();
@@ -176,18 +172,20 @@
         let heard =
             |event: calloop::signals::Event, _: &mut (), front: &mut Self| front.signal(event.signal());
         ear.insert_source(stops, heard).map_err(|e| fault("signals", &e))?;
-        let listener = TcpListener::bind(premises.listen).map_err(|e| fault("listening", &e))?;
+        let listener = TcpListener::bind(premises.listen);
+        let listener = listener.map_err(|e| fault(&format!("listening on {}", premises.listen), &e))?;
         listener.set_nonblocking(true).map_err(|e| fault("listening", &e))?;
+        let address = listener.local_addr().map_err(|e| fault("listening", &e))?;
+        log::info!("{} listens on {address}", premises.name);
         let listener = Rc::new(listener);
         let source = Generic::new(Rc::clone(&listener), Interest::READ, Mode::Level);
         let admits = move |_, _: &mut _, front: &mut Self| Ok(front.admit(&listener));
         let door = ear.insert_source(source, admits).map_err(|e| fault("listening", &e))?;
         let clock = Clock::starting(duties.warm_up);
         let (deadlines, counters) = (Deadlines::default(), Counters::default());
-        log::info!("{} listens on {}", premises.name, premises.listen);
         let mut front = Self {
             router: Router::new(fleet, traffic, duties),
-            bulletin: Bulletin::after(last),
+            bulletin: Bulletin::after(last, &premises),
             unheard: Vec::new(),
             leaving: None,
             left: false,
@@ -510,7 +508,7 @@
     }
 
     fn dial_bulletin(&mut self) {
-        self.bulletin = Bulletin::after(self.bulletin.last);
+        self.bulletin = self.bulletin.anew();
         let works = &mut self.floor.works;
         self.bulletin.due = works.now() + SILENCE;
         match works.dial(self.floor.premises.bulletin, |front| front.bulletin_ready()) {
@@ -545,7 +543,7 @@
                 self.bulletin.greeted = true;
             }
             let filled = self.bulletin.input.fill(&mut &*socket, 1 << 21).map_err(|e| e.to_string())?;
-            while let Some((number, rows)) = self.bulletin.next()? {
+            while let Some((number, rows)) = self.bulletin.take()? {
                 let works = &mut self.floor.works;
                 self.bulletin.due = works.now() + SILENCE;
                 works.deadlines.set(self.bulletin.due, Due::Bulletin);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,7 +1,7 @@
-//! The real router: emberflow's decisions on sockets. [`command::run`] is the program; [`front::Front::run`]
-//! serves by a configuration until a planned restart ends it.
+//! The real router: emberflow's decisions on sockets. [`command::run`] is the program; to embed it,
+//! [`premises::Briefing`] reads a configuration and [`front::Front::run`] serves by it until SIGTERM.
 
-mod bulletin;
+pub mod bulletin;
 mod clients;
 mod clock;
 pub mod command;
@@ -9,10 +9,10 @@
 mod deadlines;
 mod engines;
 pub mod front;
-mod jsonrpc;
-mod premises;
-mod resp;
-mod ring;
+pub mod jsonrpc;
+pub mod premises;
+pub mod resp;
+pub mod ring;
 mod slots;
-mod statement;
+pub mod statement;
 mod works;
--- a/crates/router/src/premises.rs
+++ b/crates/router/src/premises.rs
@@ -1,10 +1,33 @@
-//! Where a router stands: what its configuration says beside the settings.
+//! Where a router stands: what its configuration tells at start.
 
-use emberflow_startup::{Fault, Fields, to_ms};
+use crate::bulletin::{Event, known};
+use emberflow::{Duties, Fleet, TrafficType};
+use emberflow_startup::{Fault, Fields, duties, fleet, to_ms, traffic};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// All that is told at start; `listen` takes the place of the configuration's own address.
+pub struct Briefing {
+    pub premises: Premises,
+    pub fleet: Fleet,
+    pub traffic: Vec<TrafficType>,
+    pub duties: Duties,
+    /// The last event of the bulletin, and all so far.
+    pub last: u64,
+    pub events: Vec<Event>,
+}
+
+impl Briefing {
+    pub fn read(file: &Value, listen: Option<&str>) -> Result<Self, Fault> {
+        let premises = Premises::read(file, listen)?;
+        let settings = Fields(file).part("settings")?;
+        let (last, events) = known(Fields(file), &premises)?;
+        let (fleet, traffic) = (fleet(premises.seed, settings)?, traffic(settings)?);
+        Ok(Self { fleet, traffic, duties: duties(settings)?, last, events, premises })
+    }
+}
+
 pub struct Premises {
     pub name: String,
     pub listen: SocketAddr,
@@ -25,7 +48,7 @@
 }
 
 impl Premises {
-    pub fn read(file: &Value, listen: Option<&str>) -> Result<Self, Fault> {
+    fn read(file: &Value, listen: Option<&str>) -> Result<Self, Fault> {
         let file = Fields(file);
         let (limits, settings) = (file.part("limits")?, file.part("settings")?);
         let caps = settings.part("caps")?;
--- a/crates/router/src/statement.rs
+++ b/crates/router/src/statement.rs
@@ -1,12 +1,20 @@
 //! The group of tables of a statement: the number behind the underscore in the name of its schema.
 
-/// Reads the first schema with a number that a table's name stands behind; text in quotes that are not a
-/// name's, and comments, tell nothing, and neither does a schema without a number, such as `staging`.
+/// Words that the name of a table stands behind.
+const TABLE_FOLLOWS: [&[u8]; 8] =
+    [b"from", b"join", b"into", b"update", b"using", b"table", b"only", b"copy"];
+/// Words that begin a part of a statement, of those that hold commas.
+const BEGINS: [&[u8]; 8] = [b"select", b"from", b"where", b"group", b"order", b"set", b"values", b"on"];
+
+/// Reads the first schema with a number whose table stands where a table is named; other names with a dot,
+/// such as an alias's columns, count only where no table is named in a known way. Text in quotes that are
+/// not a name's, and comments, tell nothing, and neither does a schema without a number, such as `staging`.
 pub fn group(statement: &str) -> Option<u64> {
     let mut rest = statement.as_bytes();
-    // The name just read, if a dot may follow it, and whether a dot came right before it.
-    let mut name: Option<&[u8]> = None;
-    let mut dotted = false;
+    // The first name of a chain with dots, and whether a table is due where it stands.
+    let mut name: Option<(&[u8], bool)> = None;
+    let (mut dotted, mut due, mut listing) = (false, false, false);
+    let (mut tables, mut other) = (false, None);
     while let Some(first) = rest.first() {
         let length = match first {
             b'\'' => quoted(rest, b'\''),
@@ -20,8 +28,12 @@
         rest = after;
         match first {
             b'.' => {
-                if let Some(group) = name.take().and_then(number) {
-                    return Some(group);
+                if let Some((schema, placed)) = name.take() {
+                    match number(schema) {
+                        Some(group) if placed => return Some(group),
+                        group => other = other.or(group),
+                    }
+                    tables |= placed;
                 }
                 dotted = true;
             }
@@ -29,13 +41,20 @@
             b'-' | b'/' if length > 1 => {}
             b'"' | b'`' => {
                 let inner = token.get(1..length.saturating_sub(1)).unwrap_or_default();
-                name = (!std::mem::take(&mut dotted)).then_some(inner);
+                name = (!std::mem::take(&mut dotted)).then_some((inner, std::mem::take(&mut due)));
+            }
+            b if named(*b) => {
+                let among = |words: &[&[u8]]| words.iter().any(|word| token.eq_ignore_ascii_case(word));
+                name = (!std::mem::take(&mut dotted)).then_some((token, std::mem::take(&mut due)));
+                due = among(&TABLE_FOLLOWS);
+                if among(&BEGINS) {
+                    listing = token.eq_ignore_ascii_case(b"from");
+                }
             }
-            b if named(*b) => name = (!std::mem::take(&mut dotted)).then_some(token),
-            _ => (name, dotted) = (None, false),
+            _ => (name, dotted, due) = (None, false, *first == b',' && listing),
         }
     }
-    None
+    other.filter(|_| !tables)
 }
 
 fn named(byte: u8) -> bool {
--- /dev/null
+++ b/crates/router/tests/codecs.rs
@@ -0,0 +1,193 @@
+//! The codecs alone: bytes in, messages out, however the bytes are split.
+
+use emberflow_router::{bulletin, jsonrpc, resp, ring::Ring, statement};
+use expect_test::expect;
+
+/// What `parse` makes of input that comes in two parts, cut at every place; all must come to the same.
+fn split_everywhere(input: &[u8], parse: impl Fn(&mut Ring) -> Option<String>) -> String {
+    let whole = |first: &[u8], second: &[u8]| {
+        let (mut ring, mut lines) = (Ring::default(), Vec::new());
+        for part in [first, second] {
+            ring.push(part);
+            while let Some(line) = parse(&mut ring) {
+                lines.push(line);
+            }
+        }
+        lines.join("\n")
+    };
+    let expected = whole(input, b"");
+    for at in 0..input.len() {
+        assert_eq!(whole(&input[..at], &input[at..]), expected, "cut at {at}");
+    }
+    expected
+}
+
+#[test]
+fn arrays_come_whole_or_not_at_all() {
+    let input = [
+        resp::array(&[
+            b"9b1f",
+            b"HIT",
+            b"pages=2,cost=812.5,need=96,use=util:0.61;queue:0",
+            b"a\tb\tc\n\r\n",
+        ]),
+        resp::array(&[b"9b1f", b"INFO", b"-", b""]),
+        resp::array(&[]),
+    ];
+    let parse = |ring: &mut Ring| {
+        let (line, length) = {
+            let (parts, length) = resp::parse(ring.readable()).expect("well formed")?;
+            let parts: Vec<_> = parts.iter().map(|part| part.escape_ascii().to_string()).collect();
+            (parts.join(" | "), length)
+        };
+        ring.consume(length);
+        Some(line)
+    };
+    expect![[r#"
+        9b1f | HIT | pages=2,cost=812.5,need=96,use=util:0.61;queue:0 | a\tb\tc\n\r\n
+        9b1f | INFO | - | 
+    "#]]
+    .assert_eq(&split_everywhere(&input.concat(), parse));
+}
+
+#[test]
+fn what_is_no_array_is_named() {
+    let bad: [&[u8]; 9] = [
+        b"hello",
+        b"*x\r\n",
+        b"*9\r\n",
+        b"*12345678901\r\n",
+        b"*1\r\n+ok\r\n",
+        b"*1\r\n$-1\r\n",
+        b"*1\r\n$9999999\r\n",
+        b"*1\r\n$2\r\nabcd",
+        b"*\r\n",
+    ];
+    let told: String = bad.iter().map(|bytes| format!("{:?}\n", resp::parse(bytes).map(|_| ()))).collect();
+    expect![[r#"
+        Err("byte 104 in place of `*`")
+        Err("a length that is no number")
+        Err("an array of 9 parts")
+        Err("a length without its end")
+        Err("byte 43 in place of `$`")
+        Err("a length that is no number")
+        Err("a part of 9999999 bytes")
+        Err("a part without its end")
+        Err("a length that is no number")
+    "#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn fields_are_found_by_their_whole_name() {
+    let fields = "pages=2,page=1,use=util:0.61;queue:0";
+    let load = resp::field(fields, "use", (',', '=')).unwrap_or("none");
+    let found = ["page", "pages", "age", "-"].map(|name| resp::field(fields, name, (',', '=')));
+    let util = resp::field(load, "util", (';', ':'));
+    expect![[r#"[Some("1"), Some("2"), None, None] Some("0.61") None"#]]
+        .assert_eq(&format!("{found:?} {util:?} {:?}", resp::field("-", "use", (',', '='))));
+}
+
+#[test]
+fn requests_are_read_line_by_line_and_refused_by_the_standard() {
+    let lines = r#"{"jsonrpc":"2.0","id":7,"method":"report","params":{"req":"9b1f03aa5c7e2d41"}}
+{"jsonrpc":"2.0","method":"withdraw","params":{"req":"9b1f03aa5c7e2d41"}}
+{"jsonrpc":"2.0","id":7,"method
+[{"jsonrpc":"2.0","id":1,"method":"status"}]
+{"jsonrpc":"1.0","id":3,"method":"status"}
+{"jsonrpc":"2.0","id":-3,"method":"status"}
+{"jsonrpc":"2.0","id":"a","method":"status"}
+{"jsonrpc":"2.0","id":4,"method":5}
+
+"#;
+    let parse = |ring: &mut Ring| {
+        let (said, length) = {
+            let (line, length) = jsonrpc::line(ring.readable(), 0)?;
+            (format!("{:?}", jsonrpc::request(line)), length)
+        };
+        ring.consume(length);
+        Some(said)
+    };
+    expect![[r#"
+        Ok((Some(7), "report", Object {"req": String("9b1f03aa5c7e2d41")}))
+        Ok((None, "withdraw", Object {"req": String("9b1f03aa5c7e2d41")}))
+        Err((None, -32700, "malformed JSON: EOF while parsing a string at line 1 column 31"))
+        Err((None, -32600, "a request is one object"))
+        Err((Some(3), -32600, "`jsonrpc` is not 2.0"))
+        Err((None, -32600, "`id` is not a whole number from 1 up"))
+        Err((None, -32600, "`id` is not a whole number from 1 up"))
+        Err((Some(4), -32600, "`method` is not text"))
+        Err((None, -32700, "malformed JSON: EOF while parsing a value at line 1 column 0"))"#]]
+    .assert_eq(&split_everywhere(lines.as_bytes(), parse));
+}
+
+#[test]
+fn frames_come_whole_and_bad_ones_are_named() {
+    let record =
+        [0, 0xc4, 0x1f, 0x7a, 10, 1, 0, 9, 0x23, 0x82, 1, 2, 3, 0, 4, 0, 0, 15, 160, 0, 0, 0, 0, 0, 0, 1, 0];
+    let frame = |number: u64, kind: u8, payload: &[u8]| {
+        let length = 9 + payload.len() as u32;
+        [&length.to_be_bytes()[..], &number.to_be_bytes(), &[kind], payload].concat()
+    };
+    let parse = |ring: &mut Ring| {
+        let (said, length) = {
+            let ((number, event), length) = bulletin::parse(ring.readable()).expect("well formed")?;
+            let rows = event.iter().flat_map(|(_, rows)| rows);
+            let rows: Vec<_> = rows
+                .map(|r| {
+                    format!(
+                        "{:08x} {} {} {} {} {} {}",
+                        r.id, r.address, r.ready, r.location, r.kind, r.cell, r.up_since_ms
+                    )
+                })
+                .collect();
+            (format!("{number} {:?} {rows:?}", event.as_ref().map(|(whole, _)| whole)), length)
+        };
+        ring.consume(length);
+        Some(said)
+    };
+    let good = [frame(41, 1, &record), frame(42, 2, &[]), frame(42, 0, &[])].concat();
+    expect![[r#"
+        41 Some(true) ["00c41f7a 10.1.0.9:9090 false 2 3 4 256"]
+        42 Some(false) []
+        42 None []"#]]
+    .assert_eq(&split_everywhere(&good, parse));
+    let mut strange = record;
+    strange[10] = 7;
+    let bad = [frame(1, 3, &[]), frame(1, 2, &record[1..]), frame(1, 1, &strange), vec![255; 4], vec![0; 4]];
+    let told: String = bad.iter().map(|bytes| format!("{:?}\n", bulletin::parse(bytes).err())).collect();
+    expect![[r#"
+        Some("a frame of kind 3 with 0 bytes")
+        Some("a frame of kind 2 with 26 bytes")
+        Some("an engine in state 7")
+        Some("a frame of 4294967295 bytes")
+        Some("a frame of 0 bytes")
+    "#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn the_group_is_the_number_of_a_schema_that_a_table_stands_behind() {
+    let statements = [
+        "SELECT day, count(*) FROM sales_17.orders WHERE tag = 'x' GROUP BY day",
+        "select a.id, 'from lake_0.decoy' as note\n from mart_4.visits a where a.tag = '1'",
+        "SELECT id -- was: from mart_1.old\nFROM lake_4.visits",
+        "SELECT id /* from mart_1.old /* and mart_2.older */ */ FROM lake_4.visits",
+        "merge into mart_5.events d using staging.delta s on d.id = s.id",
+        "insert into ops_3.lines select * from staging.lines",
+        "WITH w_1 AS (SELECT * FROM \"sales_5\".\"stock\") SELECT id, sum(n) FROM w_1 GROUP BY id",
+        "SELECT 'it''s sales_9.orders' FROM `lake_2` . `orders`",
+        "COPY staging.delta FROM 'sales_3.csv'",
+        "SELECT staging.delta_7.n FROM staging.delta_7",
+        "select o_2.id, c_3.id from staging.o o_2, sales_6.c c_3 where o_2.id = c_3.id",
+        "select o_2.id from staging.orders o_2",
+        "vacuum mart_8.stock",
+        "SELECT 1",
+        "SELECT 'never closed FROM sales_1.orders",
+        "/* never closed FROM sales_1.orders",
+        "SELECT * FROM sales_.orders, _4.orders, sales_99999999999999999999.orders",
+    ];
+    let groups: Vec<_> = statements.iter().map(|text| statement::group(text)).collect();
+    expect!["[Some(17), Some(4), Some(4), Some(4), Some(5), Some(3), Some(5), Some(2), None, None, Some(6), None, Some(8), None, None, None, None]"]
+    .assert_eq(&format!("{groups:?}"));
+}
