Start the program in tests, between stand-ins for clients, engines and the bulletin

Served and paged, full, overdue with a late answer, reset, refused, silent, drained, an old address, bad frames, a planned restart, bad input of clients and engines, a start that fails.

--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -419,7 +419,7 @@
             Ok(value) => Ok(value.filter(|v| *v > 0.0).map(|v| v.min(1e9))),
             Err(fault) => Err(wrong(fault)),
         };
-        let patience = positive("timeout")?.ok_or_else(|| wrong("`timeout` is missing".into()))?;
+        let patience = positive("timeout")?.ok_or_else(|| wrong("`timeout` is not above 0".into()))?;
         let (cost, memory_mb) = (positive("ms")?.map(from_ms).filter(|c| !c.is_zero()), positive("memory")?);
         let body = jsonrpc::body(fields.text("data").map_err(wrong)?);
         let statement = body.ok_or_else(|| wrong("`data` is not base64".into()))?;
--- /dev/null
+++ b/crates/router/tests/sockets.rs
@@ -0,0 +1,589 @@
+//! The program, started, between small stand-ins for a client, engines and the bulletin.
+
+use emberflow_router::resp;
+use expect_test::expect;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+const PATIENT: Duration = Duration::from_secs(20);
+
+/// A router with the stand-ins it knows of, and what was seen so far.
+struct House {
+    program: Child,
+    log: BufReader<ChildStderr>,
+    at: SocketAddr,
+    bulletin: TcpListener,
+    engines: Vec<TcpListener>,
+    seen: String,
+}
+
+/// An address for each house, so that a port that one has given up is never another's.
+fn address() -> Ipv4Addr {
+    static HOUSES: AtomicU8 = AtomicU8::new(2);
+    Ipv4Addr::new(127, 0, HOUSES.fetch_add(1, Ordering::Relaxed), 1)
+}
+
+/// The next connection to any of these, and to which.
+fn accept(listeners: &[TcpListener]) -> (usize, TcpStream) {
+    let tries = PATIENT.as_millis();
+    for _ in 0..tries {
+        for (at, listener) in listeners.iter().enumerate() {
+            listener.set_nonblocking(true).expect("no wait");
+            if let Ok((socket, _)) = listener.accept() {
+                socket.set_nonblocking(false).expect("a wait");
+                return (at, patient(socket));
+            }
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    panic!("no connection");
+}
+
+fn patient(socket: TcpStream) -> TcpStream {
+    socket.set_read_timeout(Some(PATIENT)).expect("a time-out");
+    socket.set_nodelay(true).expect("no delay");
+    socket
+}
+
+const SETTINGS: &str = r#"{"caps":{"cancel":true,"connectTimeoutMs":COMES_UP,"idleCloseMs":15000.0,
+"maxRetryAfterMs":400.0,"mostTries":3,"retryAfter":true,"streamsPerConn":32},
+"categories":[{"deadlineMs":PATIENCE,"gain":1,"lateShare":0,"name":"lookup","onTimeMs":2000.0,"repeat":"repeatable"},
+{"deadlineMs":PATIENCE,"gain":1,"lateShare":0,"name":"post","onTimeMs":2000.0,"repeat":"once"}],"discovery":"push",
+"domain":{"kindCores":[8],"largestShare":0.4,"lanesCount":true,"sizeMb":[16384.0],"tellsEveryMs":500.0,
+"whenShort":"line_up"},"instances":1,"kinds":["std-8"],"myZone":0,"report":{"how":"none","names":[]},
+"rules":{"fallMs":1000.0,"overloadFactor":2.5,"startCapacity":0.3,"warmUpMs":9000.0},"tickMs":5.0,
+"zones":["hall-a"]}"#;
+
+fn settings(comes_up: u64, patience: u64) -> String {
+    SETTINGS.replace("COMES_UP", &comes_up.to_string()).replace("PATIENCE", &patience.to_string())
+}
+
+fn program() -> Command {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_emberflow"));
+    program.env_remove("EDGE_CONFIG").env_remove("EDGE_LISTEN").env_remove("RUST_LOG");
+    program.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    program
+}
+
+fn file(name: &str, text: &str) -> std::path::PathBuf {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+impl House {
+    /// `name` tells the files of tests apart. Without engines, the list names one where nothing listens.
+    fn open(name: &str, engines: usize, settings: &str) -> Self {
+        let at = address();
+        let listener = || TcpListener::bind((at, 0)).expect("a port");
+        let (bulletin, engines): (_, Vec<_>) = (listener(), (0..engines).map(|_| listener()).collect());
+        let member = |(at, address): (usize, SocketAddr)| {
+            format!(
+                r#"{{"id":"s-{at:08x}","host_port":"{address}","locality":"hall-a","flavor":"std-8","cell":0,"phase":"ready","size":1,"up_since_ms":0}}"#
+            )
+        };
+        let nothing_listens = (at, 1).into();
+        let mut addresses: Vec<_> = engines.iter().map(|e| e.local_addr().expect("an address")).collect();
+        if addresses.is_empty() {
+            addresses.push(nothing_listens);
+        }
+        let members: Vec<String> = addresses.into_iter().enumerate().map(member).collect();
+        let text = format!(
+            r#"{{"name":"n0","listen":"{at}:0","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},
+            "bulletin":"{}","known":{{"no":1,"items":[{{"no":1,"roster":{{"revision":1,"complete":true,"members":[{}]}}}}]}},
+            "settings":{settings}}}"#,
+            bulletin.local_addr().expect("an address"),
+            members.join(",")
+        );
+        let mut program =
+            program().arg("serve").arg("--config").arg(file(name, &text)).spawn().expect("it starts");
+        let mut log = BufReader::new(program.stderr.take().expect("its log"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("it tells where it listens");
+        let at = line.trim().rsplit(' ').next().and_then(|at| at.parse().ok()).expect("an address");
+        Self { program, log, at, bulletin, engines, seen: String::new() }
+    }
+
+    fn client(&self) -> Client {
+        let socket = patient(TcpStream::connect(self.at).expect("it listens"));
+        Client(BufReader::new(socket))
+    }
+
+    fn engine(&self, at: usize) -> Engine {
+        Engine { socket: accept(&self.engines[at..=at]).1, input: Vec::new() }
+    }
+
+    /// The next connection to any engine, and which it is.
+    fn any_engine(&self) -> (usize, Engine) {
+        let (at, socket) = accept(&self.engines);
+        (at, Engine { socket, input: Vec::new() })
+    }
+
+    fn bulletin(&mut self) -> TcpStream {
+        let mut socket = accept(std::slice::from_ref(&self.bulletin)).1;
+        let mut last = [0; 8];
+        socket.read_exact(&mut last).expect("the last event's number");
+        self.note(format!("bulletin after {}", u64::from_be_bytes(last)));
+        socket
+    }
+
+    fn note(&mut self, line: impl std::fmt::Display) -> &mut Self {
+        self.seen.push_str(&format!("{line}\n"));
+        self
+    }
+
+    fn terminate(&self) {
+        Command::new("kill").arg("-TERM").arg(self.program.id().to_string()).status().expect("kill");
+    }
+
+    /// Ends it as planned; the counters that the exit tells, of those named.
+    fn end(&mut self, counters: &[&str]) -> String {
+        if self.program.try_wait().expect("its state").is_none() {
+            self.terminate();
+        }
+        let status = self.program.wait().expect("it ends");
+        let mut log = String::new();
+        self.log.read_to_string(&mut log).expect("its log");
+        let exit = log.lines().rfind(|line| line.contains("counters at exit")).unwrap_or_default();
+        let told: Vec<&str> =
+            exit.split(' ').filter(|c| c.split('=').next().is_some_and(|c| counters.contains(&c))).collect();
+        self.note(format!("ended with {:?}: {}", status.code(), told.join(" ")));
+        std::mem::take(&mut self.seen)
+    }
+}
+
+impl Drop for House {
+    fn drop(&mut self) {
+        let _ = self.program.kill();
+        let _ = self.program.wait();
+    }
+}
+
+struct Client(BufReader<TcpStream>);
+
+impl Client {
+    fn say(&mut self, line: &str) {
+        self.0.get_ref().write_all(format!("{line}\n").as_bytes()).expect("it reads");
+    }
+
+    fn ask(&mut self, id: u64, method: &str, timeout: u64) {
+        let (req, data) = (format!("{id:016x}"), "c2VsZWN0IDE=");
+        self.say(&format!(
+            r#"{{"jsonrpc":"2.0","id":{id},"method":"{method}","params":{{"req":"{req}","timeout":{timeout},"ms":50.0,"memory":96,"data":"{data}"}}}}"#
+        ));
+    }
+
+    fn hear(&mut self) -> String {
+        let mut line = String::new();
+        self.0.read_line(&mut line).expect("an answer");
+        if line.is_empty() { "closed".into() } else { line.trim_end().into() }
+    }
+}
+
+struct Engine {
+    socket: TcpStream,
+    input: Vec<u8>,
+}
+
+impl Engine {
+    /// The next command, with the figure of its budget left out.
+    fn hear(&mut self) -> String {
+        loop {
+            let whole = resp::parse(&self.input).expect("well formed").map(|(parts, length)| {
+                let words: Vec<_> =
+                    parts.iter().map(|part| String::from_utf8_lossy(part).into_owned()).collect();
+                (words, length)
+            });
+            if let Some((words, length)) = whole {
+                self.input.drain(..length);
+                let fields = |word: &str| {
+                    let kept = word.split(',').filter(|field| !field.starts_with("budget="));
+                    kept.collect::<Vec<_>>().join(",")
+                };
+                return words.iter().map(|word| fields(word)).collect::<Vec<_>>().join(" ");
+            }
+            let mut chunk = [0; 4096];
+            match self.socket.read(&mut chunk).expect("a command") {
+                0 => return "closed".into(),
+                count => self.input.extend(&chunk[..count]),
+            }
+        }
+    }
+
+    fn say(&mut self, id: u64, word: &str, fields: &str, body: &str) {
+        let id = format!("{id:016x}");
+        let words = [id.as_bytes(), word.as_bytes(), fields.as_bytes(), body.as_bytes()];
+        self.socket.write_all(&resp::array(&words)).expect("it reads");
+    }
+}
+
+/// A frame of changes: rows of an engine's number, address and state.
+fn changes(number: u64, rows: &[(u32, SocketAddr, u8)]) -> Vec<u8> {
+    let mut payload = Vec::new();
+    for (id, address, state) in rows {
+        let SocketAddr::V4(address) = address else { panic!("an address of version 4") };
+        payload.extend(id.to_be_bytes());
+        payload.extend(address.ip().octets());
+        payload.extend(address.port().to_be_bytes());
+        payload.extend([*state, 0, 0, 0, 0]);
+        payload.extend(1000u32.to_be_bytes());
+        payload.extend(0u64.to_be_bytes());
+    }
+    let length = 9 + payload.len() as u32;
+    [&length.to_be_bytes()[..], &number.to_be_bytes(), &[2], &payload].concat()
+}
+
+#[test]
+fn a_task_is_served_page_by_page_and_the_end_is_planned() {
+    let mut house = House::open("serve", 1, &settings(5000, 8000));
+    let mut client = house.client();
+    client.say(r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#);
+    let status = client.hear();
+    client.ask(2, "lookup", 8000);
+    let mut engine = house.engine(0);
+    house.note(status).note(engine.hear());
+    engine.say(2, "INFO", "detail=advance,v=0.5", "");
+    engine.say(9, "HIT", "pages=1", "of another");
+    engine.say(2, "HIT", "pages=3,cost=48.0,need=90", "a\tb\tc\n");
+    house.note(engine.hear()).note(engine.hear());
+    engine.say(2, "PART", "page=2", "g\th\ti\n");
+    engine.say(2, "PART", "page=1", "d\te\tf\n");
+    house.note(client.hear());
+    let counters = ["tasks_taken", "tasks_succeeded", "hops_sent", "notes", "engine_answers_for_nothing"];
+    expect![[r#"
+        {"id":1,"jsonrpc":"2.0","result":{"serving":true}}
+        GET 0000000000000002 queue=lookup,mem=120,prio=2 select 1
+        PAGE 0000000000000002 1
+        PAGE 0000000000000002 2
+        {"jsonrpc":"2.0","id":2,"result":{"data":"YQliCWMKZAllCWYKZwloCWkK"}}
+        ended with Some(0): engine_answers_for_nothing=1 hops_sent=1 notes=1 tasks_succeeded=1 tasks_taken=1
+    "#]]
+    .assert_eq(&house.end(&counters));
+}
+
+#[test]
+fn full_engines_are_left_for_others_and_the_last_refusal_bounces() {
+    let mut house = House::open("full", 2, &settings(5000, 8000));
+    let mut client = house.client();
+    client.ask(1, "post", 8000);
+    let (first, mut engine) = house.any_engine();
+    house.note(engine.hear());
+    engine.say(1, "SHED", "-", "");
+    let mut engine = house.engine(1 - first);
+    house.note(engine.hear());
+    engine.say(1, "FAULT", "-", "");
+    house.note(client.hear());
+    expect![[r#"
+        GET 0000000000000001 queue=post,mem=120,prio=2 select 1
+        GET 0000000000000001 queue=post,mem=120,prio=2 select 1
+        {"error":{"code":-32000,"message":"given up: it may have run"},"id":1,"jsonrpc":"2.0"}
+        ended with Some(0): hops_failed=1 hops_overloaded=1 tasks_given_up=1
+    "#]]
+    .assert_eq(&house.end(&["hops_overloaded", "hops_failed", "tasks_given_up"]));
+}
+
+#[test]
+fn an_overdue_hop_is_dropped_and_its_late_answer_is_nobodys() {
+    let mut house = House::open("overdue", 1, &settings(5000, 8000));
+    let mut client = house.client();
+    client.ask(1, "lookup", 1500);
+    let mut engine = house.engine(0);
+    house.note(engine.hear()).note(engine.hear()).note(client.hear());
+    engine.say(1, "HIT", "pages=1", "late\n");
+    client.ask(2, "lookup", 8000);
+    house.note(engine.hear());
+    engine.say(2, "HIT", "pages=1", "in time\n");
+    house.note(client.hear());
+    expect![[r#"
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        DROP 0000000000000001
+        {"error":{"code":-32011,"data":{"holdoff":400},"message":"bounced: a retry is harmless"},"id":1,"jsonrpc":"2.0"}
+        GET 0000000000000002 queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":2,"result":{"data":"aW4gdGltZQo="}}
+        ended with Some(0): engine_answers_for_nothing=1 hops_timed_out=1 tasks_bounced=1
+    "#]].assert_eq(&house.end(&[
+        "hops_timed_out",
+        "tasks_bounced",
+        "engine_answers_for_nothing",
+    ]));
+}
+
+#[test]
+fn a_reset_after_the_call_may_have_run_and_a_refused_connection_has_not() {
+    let mut house = House::open("reset", 1, &settings(5000, 8000));
+    let mut client = house.client();
+    client.ask(1, "post", 8000);
+    let mut engine = house.engine(0);
+    house.note(engine.hear());
+    drop(engine);
+    house.note(client.hear());
+    expect![[r#"
+        GET 0000000000000001 queue=post,mem=120,prio=2 select 1
+        {"error":{"code":-32000,"message":"given up: it may have run"},"id":1,"jsonrpc":"2.0"}
+        ended with Some(0): hops_broken=1
+    "#]]
+    .assert_eq(&house.end(&["hops_broken", "hops_unreachable"]));
+    let mut house = House::open("refused", 0, &settings(5000, 8000));
+    let mut client = house.client();
+    client.ask(1, "post", 8000);
+    house.note(client.hear());
+    expect![[r#"
+        {"error":{"code":-32011,"data":{"holdoff":400},"message":"bounced: a retry is harmless"},"id":1,"jsonrpc":"2.0"}
+        ended with Some(0): hops_unreachable=3
+    "#]].assert_eq(&house.end(&["hops_broken", "hops_unreachable"]));
+}
+
+#[test]
+fn a_connection_silent_for_long_must_answer_before_it_is_used() {
+    let mut house = House::open("silent", 1, &settings(1000, 8000));
+    let mut client = house.client();
+    client.ask(1, "lookup", 8000);
+    let mut engine = house.engine(0);
+    house.note(engine.hear());
+    engine.say(1, "HIT", "pages=1", "x\n");
+    house.note(client.hear());
+    std::thread::sleep(Duration::from_millis(1100));
+    client.ask(2, "lookup", 8000);
+    house.note(engine.hear());
+    let mut anew = house.engine(0);
+    house.note(anew.hear());
+    anew.say(2, "HIT", "pages=1", "y\n");
+    house.note(client.hear()).note(engine.hear());
+    expect![[r#"
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":1,"result":{"data":"eAo="}}
+        PING 0
+        GET 0000000000000002 queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":2,"result":{"data":"eQo="}}
+        closed
+        ended with Some(0): hops_unreachable=1 links_dialled=2 links_silent=1
+    "#]]
+    .assert_eq(&house.end(&["links_silent", "hops_unreachable", "links_dialled"]));
+}
+
+#[test]
+fn drains_are_kept_and_a_new_engine_at_an_old_address_is_another() {
+    let mut house = House::open("drain", 1, &settings(5000, 8000));
+    let mut bulletin = house.bulletin();
+    let address = house.engines[0].local_addr().expect("an address");
+    let mut client = house.client();
+    client.ask(1, "lookup", 8000);
+    let mut old = house.engine(0);
+    house.note(old.hear());
+    let frame = changes(2, &[(0, address, 2), (7, address, 0)]);
+    let (first, second) = frame.split_at(11);
+    bulletin.write_all(first).expect("it reads");
+    bulletin.write_all(second).expect("it reads");
+    // Nothing tells a client of an event: tasks are asked for until one takes the new connection.
+    house.engines[0].set_nonblocking(true).expect("no wait");
+    let mut id = 2;
+    let mut new = loop {
+        client.ask(id, "lookup", 8000);
+        client.say(r#"{"jsonrpc":"2.0","id":900,"method":"status"}"#);
+        client.hear();
+        id += 1;
+        if let Ok((socket, _)) = house.engines[0].accept() {
+            socket.set_nonblocking(false).expect("a wait");
+            break Engine { socket: patient(socket), input: Vec::new() };
+        }
+    };
+    house.note(new.hear().replace(&format!("{:016x}", id - 1), "a later task"));
+    old.say(1, "HIT", "pages=1", "from the old one\n");
+    house.note(client.hear());
+    drop(bulletin);
+    let _bulletin = house.bulletin();
+    expect![[r#"
+        bulletin after 1
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        GET a later task queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":1,"result":{"data":"ZnJvbSB0aGUgb2xkIG9uZQo="}}
+        bulletin after 2
+        ended with Some(0): bulletin_lost=1 links_dialled=2
+    "#]]
+    .assert_eq(&house.end(&["links_dialled", "bulletin_lost"]));
+}
+
+#[test]
+fn a_bad_frame_changes_nothing_and_the_bulletin_is_dialled_again() {
+    let mut house = House::open("frame", 1, &settings(5000, 8000));
+    let address = house.engines[0].local_addr().expect("an address");
+    for frame in [changes(5, &[(0, address, 2)]), changes(1, &[(0, address, 2)]), vec![255; 16]] {
+        let mut bulletin = house.bulletin();
+        bulletin.write_all(&frame).expect("it reads");
+        assert_eq!(bulletin.read(&mut [0; 1]).unwrap_or(0), 0, "closed by the router");
+    }
+    let mut client = house.client();
+    client.ask(1, "lookup", 8000);
+    let call = house.engine(0).hear();
+    house.note(call);
+    expect![[r#"
+        bulletin after 1
+        bulletin after 1
+        bulletin after 1
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        ended with Some(0): bulletin_lost=3 list_events=1
+    "#]]
+    .assert_eq(&house.end(&["bulletin_lost", "list_events"]));
+}
+
+#[test]
+fn at_a_planned_restart_all_is_answered_by_what_its_effect_allows() {
+    let mut house = House::open("restart", 1, &settings(5000, 600));
+    let mut client = house.client();
+    client.ask(1, "lookup", 600_000);
+    client.ask(2, "post", 600_000);
+    let mut engine = house.engine(0);
+    house.note(engine.hear()).note(engine.hear());
+    house.terminate();
+    let mut other = house.client();
+    let leaving = loop {
+        other.say(r#"{"jsonrpc":"2.0","id":3,"method":"status"}"#);
+        let status = other.hear();
+        if status.contains("false") {
+            break status;
+        }
+    };
+    house.note(leaving).note(client.hear()).note(client.hear());
+    let mut dropped = [engine.hear(), engine.hear()];
+    dropped.sort();
+    house.note(dropped.join(", "));
+    expect![[r#"
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        GET 0000000000000002 queue=post,mem=120,prio=2 select 1
+        {"id":3,"jsonrpc":"2.0","result":{"serving":false}}
+        {"error":{"code":-32011,"data":{"holdoff":400},"message":"bounced: a retry is harmless"},"id":1,"jsonrpc":"2.0"}
+        {"error":{"code":-32000,"message":"given up: it may have run"},"id":2,"jsonrpc":"2.0"}
+        DROP 0000000000000001, DROP 0000000000000002
+        ended with Some(0): hops_withdrawn=2 tasks_bounced=1 tasks_given_up=1
+    "#]].assert_eq(&house.end(&["tasks_bounced", "tasks_given_up", "hops_withdrawn"]));
+}
+
+#[test]
+fn bad_input_of_a_client_gets_the_standard_errors_and_reaches_no_engine() {
+    let mut house = House::open("client", 1, &settings(5000, 8000));
+    let mut client = house.client();
+    let lines = [
+        "{oops",
+        r#"[{"jsonrpc":"2.0","id":1,"method":"status"}]"#,
+        r#"{"jsonrpc":"2.0","id":2,"method":"dance"}"#,
+        r#"{"jsonrpc":"2.0","method":"lookup","params":{}}"#,
+        r#"{"jsonrpc":"2.0","id":4,"method":"lookup"}"#,
+        r#"{"jsonrpc":"2.0","id":5,"method":"lookup","params":{"req":"xyz","timeout":5,"data":""}}"#,
+        r#"{"jsonrpc":"2.0","id":6,"method":"lookup","params":{"req":"9b1f03aa5c7e2d41","timeout":-5,"data":""}}"#,
+        r#"{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"req":"9b1f03aa5c7e2d41","timeout":50,"data":"?"}}"#,
+        r#"{"jsonrpc":"2.0","id":8,"method":"lookup","params":{"req":"9b1f03aa5c7e2d41","timeout":50,"ms":"x","data":""}}"#,
+    ];
+    for line in lines {
+        client.say(line);
+        house.note(client.hear());
+    }
+    for id in (1..=32).chain([1, 33]) {
+        client.ask(id, "lookup", 1e300 as u64);
+    }
+    house.note(client.hear()).note(client.hear());
+    let mut endless = house.client();
+    let _ = endless.0.get_ref().write_all(&vec![b'x'; 1 << 20]);
+    house.note(endless.hear());
+    let mut other = house.client();
+    other.say(r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#);
+    house.note(other.hear());
+    expect![[r#"
+        {"error":{"code":-32700,"message":"malformed JSON: key must be a string at line 1 column 2"},"id":null,"jsonrpc":"2.0"}
+        {"error":{"code":-32600,"message":"a request is one object"},"id":null,"jsonrpc":"2.0"}
+        {"error":{"code":-32601,"message":"no method `dance`"},"id":2,"jsonrpc":"2.0"}
+        {"error":{"code":-32600,"message":"a task without an id"},"id":null,"jsonrpc":"2.0"}
+        {"error":{"code":-32602,"message":"`req` is missing"},"id":4,"jsonrpc":"2.0"}
+        {"error":{"code":-32602,"message":"`req` is not 16 hex digits"},"id":5,"jsonrpc":"2.0"}
+        {"error":{"code":-32602,"message":"`timeout` is not above 0"},"id":6,"jsonrpc":"2.0"}
+        {"error":{"code":-32602,"message":"`data` is not base64"},"id":7,"jsonrpc":"2.0"}
+        {"error":{"code":-32602,"message":"`ms` is not a number"},"id":8,"jsonrpc":"2.0"}
+        {"error":{"code":-32600,"message":"`id` is open already"},"id":1,"jsonrpc":"2.0"}
+        {"error":{"code":-32600,"message":"too many open requests"},"id":33,"jsonrpc":"2.0"}
+        {"error":{"code":-32700,"message":"a line without end"},"id":null,"jsonrpc":"2.0"}
+        {"id":1,"jsonrpc":"2.0","result":{"serving":true}}
+        ended with Some(0): client_input_refused=12 tasks_taken=32
+    "#]].assert_eq(&house.end(&["client_input_refused", "tasks_taken"]));
+}
+
+#[test]
+fn bad_input_of_an_engine_ends_its_connection_and_what_it_carried() {
+    let mut house = House::open("engine", 1, &settings(5000, 8000));
+    let mut client = house.client();
+    let bad: [(&str, &str); 6] = [
+        ("DANCE", "-"),
+        ("PART", "page=1"),
+        ("HIT", "pages=x"),
+        ("HIT", "pages=100000"),
+        ("INFO", "detail=advance,v=much"),
+        ("FAULT", "use=util:high"),
+    ];
+    client.ask(1, "lookup", 8000);
+    let mut engine = house.engine(0);
+    engine.hear();
+    engine.say(1, "HIT", "pages=1", "");
+    client.hear();
+    for (id, (word, fields)) in (100..).step_by(10).zip(bad) {
+        client.ask(id, "post", 8000);
+        engine.hear();
+        engine.say(id, word, fields, "");
+        let answer = client.hear();
+        house.note(answer);
+        // Good answers in between, so that the engine is not taken for one that fails; the first on a new
+        // connection.
+        for good in id + 1..id + 5 {
+            client.ask(good, "lookup", 8000);
+            if good == id + 1 {
+                engine = house.engine(0);
+            }
+            engine.hear();
+            engine.say(good, "HIT", "pages=1", "");
+            client.hear();
+        }
+    }
+    expect![[r#"
+        {"error":{"code":-32000,"message":"given up: it may have run"},"id":100,"jsonrpc":"2.0"}
+        {"error":{"code":-32000,"message":"given up: it may have run"},"id":110,"jsonrpc":"2.0"}
+        {"error":{"code":-32000,"message":"given up: it may have run"},"id":120,"jsonrpc":"2.0"}
+        {"error":{"code":-32000,"message":"given up: it may have run"},"id":130,"jsonrpc":"2.0"}
+        {"error":{"code":-32000,"message":"given up: it may have run"},"id":140,"jsonrpc":"2.0"}
+        {"error":{"code":-32000,"message":"given up: it may have run"},"id":150,"jsonrpc":"2.0"}
+        ended with Some(0): engine_input_malformed=6 hops_broken=6 tasks_given_up=6
+    "#]]
+    .assert_eq(&house.end(&["engine_input_malformed", "hops_broken", "tasks_given_up"]));
+}
+
+#[test]
+fn a_start_that_fails_says_why_in_one_line() {
+    let told = |mut program: Command| {
+        let done = program.output().expect("it ends");
+        let text = String::from_utf8_lossy(&done.stderr).replace(env!("CARGO_TARGET_TMPDIR"), "");
+        format!("{:?} {}", done.status.code(), text.lines().next().unwrap_or_default())
+    };
+    let serve = |path: std::path::PathBuf| {
+        let mut program = program();
+        program.arg("serve").arg("--config").arg(path);
+        program
+    };
+    let mut lines = Vec::new();
+    let mut bare = program();
+    bare.arg("serve");
+    lines.push(told(bare));
+    lines.push(told(serve("/nowhere/at/all".into())));
+    lines.push(told(serve(file("empty", "{}"))));
+    lines.push(told(serve(file("broken", "{\"name\":"))));
+    let mut strange = program();
+    strange.arg("dance");
+    lines.push(told(strange));
+    lines.push(told(program()));
+    expect![[r#"
+        Some(1) emberflow: EDGE_CONFIG is not set
+        Some(1) emberflow: /nowhere/at/all: No such file or directory (os error 2)
+        Some(1) emberflow: /empty.json: `limits` is missing
+        Some(1) emberflow: /broken.json: EOF while parsing a value at line 1 column 8
+        Some(2) emberflow: no such command: dance
+        Some(2) emberflow: a command is missing"#]]
+    .assert_eq(&lines.join("\n"));
+}
