Answer clients that shut one direction; read an engine's last answers before its close counts

Found by reading and by new socket tests: end of file from a client ended its tasks (clients.rs hear), a failed write to an engine threw its unread answers away (engines.rs go_on), and a hop waiting for a connection could be written after the engine drained (engines.rs listed).

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -22,8 +22,10 @@
     pub open: BTreeMap<u64, TaskId>,
     /// When it last had something to say or was answered.
     active: Duration,
-    /// Nothing more is read; it closes once all is answered.
+    /// Nothing more is taken from it; it closes once all is answered.
     deaf: bool,
+    /// Nothing more will come from it.
+    shut: bool,
 }
 
 /// What a connection's turn at reading came to.
@@ -47,7 +49,16 @@
 impl Clients {
     pub fn admit(&mut self, wire: Wire, now: Duration) -> Slot {
         let (input, output, open) = (Ring::default(), Ring::default(), BTreeMap::new());
-        self.table.insert(Client { wire, input, output, scanned: 0, open, active: now, deaf: false })
+        self.table.insert(Client {
+            wire,
+            input,
+            output,
+            scanned: 0,
+            open,
+            active: now,
+            deaf: false,
+            shut: false,
+        })
     }
 
     /// Of those that wait for nothing, the one that has for longest.
@@ -71,13 +82,19 @@
             if client.output.len() > most {
                 return Heard::Nothing;
             }
+            if client.shut {
+                let failed = !matches!(client.wire.socket.take_error(), Ok(None));
+                return if failed { Heard::Closed } else { Heard::Nothing };
+            }
             if client.deaf {
                 client.input.consume(client.input.len());
-                return match client.input.fill(&mut &*client.wire.socket, most) {
-                    Ok(Filled::Enough) => Heard::Passed,
-                    Ok(Filled::Drained) => Heard::Nothing,
-                    Ok(Filled::Closed) | Err(_) => Heard::Closed,
-                };
+                match client.input.fill(&mut &*client.wire.socket, most) {
+                    Ok(Filled::Enough) => return Heard::Passed,
+                    Ok(Filled::Drained) => return Heard::Nothing,
+                    Ok(Filled::Closed) => client.shut = true,
+                    Err(_) => return Heard::Closed,
+                }
+                continue;
             }
             if let Some((line, length)) = jsonrpc::line(client.input.readable(), client.scanned) {
                 let line = line.to_vec();
@@ -92,10 +109,11 @@
             }
             let before = client.input.len();
             match client.input.fill(&mut &*client.wire.socket, most) {
-                Ok(Filled::Closed) | Err(_) if client.input.len() == before => return Heard::Closed,
                 Err(_) => return Heard::Closed,
-                Ok(_) if client.input.len() == before => return Heard::Nothing,
-                Ok(_) => {}
+                Ok(_) if client.input.len() > before => {}
+                // It may have shut one direction only: what is open is still owed.
+                Ok(Filled::Closed) => client.shut = true,
+                Ok(_) => return Heard::Nothing,
             }
         }
     }
@@ -116,9 +134,10 @@
         }
     }
 
-    /// Whether it can't be read on and owes nothing more.
-    pub fn is_done(&self, slot: Slot) -> bool {
-        self.table.get(slot).is_some_and(|c| c.deaf && c.open.is_empty() && c.output.is_empty())
+    /// One that can't be read on and is owed nothing more.
+    pub fn finished(&self) -> Option<Slot> {
+        let done = |c: &Client| (c.deaf || c.shut) && c.open.is_empty() && c.output.is_empty();
+        self.table.iter().find(|(_, client)| done(client)).map(|(slot, _)| slot)
     }
 
     /// Whether all that was said has left.
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -119,6 +119,9 @@
         if engine == next {
             self.book.push(Engine { address: row.address, launched, links: Vec::new() });
         }
+        if !row.ready {
+            self.hold_back(engine, works);
+        }
         let known = &mut self.book[engine];
         known.address = row.address;
         if known.launched != launched
@@ -134,6 +137,15 @@
         Listing { engine, location: row.location, kind: row.kind, cell: row.cell, ready: row.ready, launched }
     }
 
+    /// What waits for a connection to an engine that is not to be sent to any more is never written.
+    fn hold_back(&mut self, engine: EngineId, works: &mut Works) {
+        let links = self.book[engine].links.clone();
+        let waiting = links.iter().filter_map(|slot| Some(self.links.get(*slot)?.waiting.clone()));
+        for hop in waiting.flatten().collect::<Vec<_>>() {
+            self.end(hop, HopEnd::Void, None, works);
+        }
+    }
+
     /// Sends a hop, on a connection that no earlier hop of its task went over: answers name the task alone.
     pub fn send(&mut self, engine: EngineId, call: Call, earlier: &[Slot], works: &mut Works) -> Slot {
         let now = works.now();
@@ -246,6 +258,8 @@
         if link.up
             && let Err(error) = link.output.drain(&mut &*link.wire.socket)
         {
+            // Answers may have come before the engine closed.
+            self.read(slot, works);
             self.lose(slot, &error.to_string(), works);
         }
     }
@@ -265,6 +279,11 @@
             }
         }
         self.go_on(slot, works);
+        self.read(slot, works);
+    }
+
+    /// Takes in all that its socket has.
+    fn read(&mut self, slot: Slot, works: &mut Works) {
         loop {
             let Some(link) = self.links.get_mut(slot) else { return };
             let filled = link.input.fill(&mut &*link.wire.socket, TURN);
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -227,10 +227,6 @@
         for slot in std::mem::take(&mut self.unheard) {
             self.client_ready(slot);
         }
-        while let Some(slot) = self.floor.clients.swollen() {
-            self.floor.works.counters.count("clients_too_slow");
-            self.client_gone(slot);
-        }
         while let Some(due) = self.floor.works.deadlines.pop(self.floor.works.now()) {
             let now = self.floor.works.now();
             let Floor { engines, works, .. } = &mut self.floor;
@@ -246,6 +242,13 @@
             }
             self.tell();
         }
+        while let Some(slot) = self.floor.clients.finished() {
+            self.client_gone(slot);
+        }
+        while let Some(slot) = self.floor.clients.swollen() {
+            self.floor.works.counters.count("clients_too_slow");
+            self.client_gone(slot);
+        }
     }
 
     /// Tells the decisions what came of their hops, until nothing is new.
@@ -349,12 +352,7 @@
                 Heard::Passed => {}
                 Heard::TooLong => self.object(slot, None, jsonrpc::PARSE, "a line without end"),
                 Heard::Closed => return self.client_gone(slot),
-                Heard::Nothing => {
-                    if self.floor.clients.is_done(slot) {
-                        self.client_gone(slot);
-                    }
-                    return;
-                }
+                Heard::Nothing => return,
             }
         }
         self.unheard.push(slot);
@@ -385,7 +383,7 @@
         if method == "withdraw" {
             log::debug!("withdraw: {}", String::from_utf8_lossy(line));
             let req = fields.text("req").unwrap_or_default();
-            let other = fields.whole("id").ok();
+            let other = fields.whole("id").ok().or(id);
             let Some(client) = self.floor.clients.table.get(slot) else { return Ok(()) };
             let floor = &self.floor;
             let named = |number: &TaskId| {
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -3,7 +3,7 @@
 use emberflow_router::resp;
 use expect_test::expect;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
@@ -555,6 +555,53 @@
     .assert_eq(&house.end(&["engine_input_malformed", "hops_broken", "tasks_given_up"]));
 }
 
+#[test]
+fn a_client_that_shut_its_side_or_withdrew_is_told_apart_from_one_that_waits() {
+    let mut house = House::open("shut", 1, &settings(5000, 8000));
+    let (mut client, mut other) = (house.client(), house.client());
+    client.ask(1, "lookup", 8000);
+    let mut engine = house.engine(0);
+    house.note(engine.hear());
+    client.0.get_ref().shutdown(Shutdown::Write).expect("one side shut");
+    other.ask(2, "lookup", 8000);
+    house.note(engine.hear());
+    other.say(r#"{"jsonrpc":"2.0","method":"withdraw","params":{"req":"0000000000000002"}}"#);
+    house.note(engine.hear());
+    engine.say(2, "HIT", "pages=1", "for nobody\n");
+    engine.say(1, "HIT", "pages=1", "for the one that waits\n");
+    house.note(client.hear()).note(client.hear());
+    expect![[r#"
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        GET 0000000000000002 queue=lookup,mem=120,prio=2 select 1
+        DROP 0000000000000002
+        {"jsonrpc":"2.0","id":1,"result":{"data":"Zm9yIHRoZSBvbmUgdGhhdCB3YWl0cwo="}}
+        closed
+        ended with Some(0): hops_withdrawn=1 tasks_succeeded=1 tasks_withdrawn=1
+    "#]]
+    .assert_eq(&house.end(&["tasks_succeeded", "tasks_withdrawn", "hops_withdrawn"]));
+}
+
+#[test]
+fn what_an_engine_answered_before_it_closed_counts() {
+    let mut house = House::open("closed", 1, &settings(5000, 8000));
+    let mut client = house.client();
+    client.ask(1, "post", 8000);
+    client.ask(2, "post", 8000);
+    let mut engine = house.engine(0);
+    house.note(engine.hear()).note(engine.hear());
+    engine.say(1, "HIT", "pages=1", "done\n");
+    drop(engine);
+    house.note(client.hear()).note(client.hear());
+    expect![[r#"
+        GET 0000000000000001 queue=post,mem=120,prio=2 select 1
+        GET 0000000000000002 queue=post,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":1,"result":{"data":"ZG9uZQo="}}
+        {"error":{"code":-32000,"message":"given up: it may have run"},"id":2,"jsonrpc":"2.0"}
+        ended with Some(0): hops_broken=1 hops_succeeded=1
+    "#]]
+    .assert_eq(&house.end(&["hops_succeeded", "hops_broken"]));
+}
+
 #[test]
 fn a_start_that_fails_says_why_in_one_line() {
     let told = |mut program: Command| {
