Wake the module in time for the end of its process; order by subject on sockets

Seen in the new socket test: two tasks out at a planned restart ended without an answer (no tasks_given_up among the counters). A task's subject becomes its key, a flooding engine is read a bounded part a turn.

--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -90,6 +90,8 @@
     links: Slots<Link>,
     hops: Slots<Hop>,
     pub news: VecDeque<News>,
+    /// Connections that have more to say than one turn of the loop took.
+    pub unread: Vec<Slot>,
     streams: usize,
     comes_up: Duration,
     idle_close: Duration,
@@ -104,6 +106,7 @@
             links: Slots::default(),
             hops: Slots::default(),
             news: VecDeque::new(),
+            unread: Vec::new(),
             streams: premises.streams,
             comes_up: premises.comes_up,
             idle_close: premises.idle_close,
@@ -282,21 +285,20 @@
         self.read(slot, works);
     }
 
-    /// Takes in all that its socket has.
+    /// Takes in what its socket has, as much as one turn bears.
     fn read(&mut self, slot: Slot, works: &mut Works) {
-        loop {
-            let Some(link) = self.links.get_mut(slot) else { return };
-            let filled = link.input.fill(&mut &*link.wire.socket, TURN);
-            if let Err(malformed) = self.hear(slot, works) {
-                works.counters.count("engine_input_malformed");
-                return self.lose(slot, &malformed, works);
-            }
-            match filled {
-                Ok(Filled::Drained) => return,
-                Ok(Filled::Enough) => {}
-                Ok(Filled::Closed) => return self.lose(slot, "closed by the engine", works),
-                Err(error) => return self.lose(slot, &error.to_string(), works),
-            }
+        let Some(link) = self.links.get_mut(slot) else { return };
+        let filled = link.input.fill(&mut &*link.wire.socket, TURN);
+        if let Err(malformed) = self.hear(slot, works) {
+            works.counters.count("engine_input_malformed");
+            log::warn!("malformed from an engine: {malformed}");
+            return self.lose(slot, &malformed, works);
+        }
+        match filled {
+            Ok(Filled::Drained) => {}
+            Ok(Filled::Enough) => self.unread.push(slot),
+            Ok(Filled::Closed) => self.lose(slot, "closed by the engine", works),
+            Err(error) => self.lose(slot, &error.to_string(), works),
         }
     }
 
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -15,10 +15,11 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction, RegistrationToken};
-use emberflow::{Arrival, Ended, EngineId, Outlet, Router, TaskId};
+use emberflow::{Arrival, Ended, EngineId, KeyId, Outlet, Router, TaskId};
 use emberflow_startup::{Fields, from_ms};
 use serde_json::Value;
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -214,7 +215,8 @@
         while !front.left {
             let floor = &front.floor;
             let due = floor.works.deadlines.first().map(|at| at.saturating_sub(floor.works.now()));
-            let wait = if front.unheard.is_empty() { due } else { Some(Duration::ZERO) };
+            let done = front.unheard.is_empty() && floor.engines.unread.is_empty();
+            let wait = if done { due } else { Some(Duration::ZERO) };
             event_loop.dispatch(wait, &mut front).map_err(|e| fault("the loop", &e))?;
             front.turn();
         }
@@ -227,6 +229,9 @@
         for slot in std::mem::take(&mut self.unheard) {
             self.client_ready(slot);
         }
+        for slot in std::mem::take(&mut self.floor.engines.unread) {
+            self.link_ready(slot);
+        }
         while let Some(due) = self.floor.works.deadlines.pop(self.floor.works.now()) {
             let now = self.floor.works.now();
             let Floor { engines, works, .. } = &mut self.floor;
@@ -413,6 +418,7 @@
         if opkey.is_some_and(|key| key.bytes().any(|b| !b.is_ascii_alphanumeric())) {
             return Err(wrong("`opkey` holds more than letters and digits".into()));
         }
+        let subject = fields.maybe("subject").map(|_| fields.text("subject")).transpose().map_err(wrong)?;
         let positive = |name: &str| match fields.maybe(name).map(|_| fields.number(name)).transpose() {
             Ok(value) => Ok(value.filter(|v| *v > 0.0).map(|v| v.min(1e9))),
             Err(fault) => Err(wrong(fault)),
@@ -438,7 +444,7 @@
         let arrival = Arrival {
             task: number,
             traffic: class,
-            key: None,
+            key: subject.map(key),
             cost,
             memory_mb,
             patience: from_ms(patience).min(LONGEST),
@@ -582,3 +588,10 @@
         floor.works.deadlines.set(now + LOOK, Due::Leave);
     }
 }
+
+/// The index of what a task's order goes by. Two names that came to one would only wait for each other.
+fn key(subject: &str) -> KeyId {
+    let mut hasher = DefaultHasher::new();
+    subject.hash(&mut hasher);
+    hasher.finish() as KeyId
+}
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -170,9 +170,14 @@
     }
 
     fn ask(&mut self, id: u64, method: &str, timeout: u64) {
+        self.ask_about("", id, method, timeout);
+    }
+
+    /// A task with further fields.
+    fn ask_about(&mut self, more: &str, id: u64, method: &str, timeout: u64) {
         let (req, data) = (format!("{id:016x}"), "c2VsZWN0IDE=");
         self.say(&format!(
-            r#"{{"jsonrpc":"2.0","id":{id},"method":"{method}","params":{{"req":"{req}","timeout":{timeout},"ms":50.0,"memory":96,"data":"{data}"}}}}"#
+            r#"{{"jsonrpc":"2.0","id":{id},"method":"{method}","params":{{{more}"req":"{req}","timeout":{timeout},"ms":50.0,"memory":96,"data":"{data}"}}}}"#
         ));
     }
 
@@ -602,6 +607,28 @@
     .assert_eq(&house.end(&["hops_succeeded", "hops_broken"]));
 }
 
+#[test]
+fn tasks_of_one_subject_run_one_at_a_time_in_the_order_taken() {
+    let ordered = settings(5000, 8000).replace(r#""name":"post""#, r#""keepOrder":true,"name":"post""#);
+    let mut house = House::open("order", 1, &ordered);
+    let mut client = house.client();
+    for (id, subject) in [(1, "a"), (2, "a"), (3, "b")] {
+        client.ask_about(&format!(r#""subject":"{subject}","#), id, "post", 8000);
+    }
+    let mut engine = house.engine(0);
+    house.note(engine.hear()).note(engine.hear());
+    engine.say(1, "HIT", "pages=1", "x\n");
+    house.note(client.hear()).note(engine.hear());
+    expect![[r#"
+        GET 0000000000000001 queue=post,mem=120,prio=2 select 1
+        GET 0000000000000003 queue=post,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":1,"result":{"data":"eAo="}}
+        GET 0000000000000002 queue=post,mem=120,prio=2 select 1
+        ended with Some(0): tasks_given_up=2 tasks_succeeded=1
+    "#]]
+    .assert_eq(&house.end(&["tasks_succeeded", "tasks_given_up"]));
+}
+
 #[test]
 fn a_start_that_fails_says_why_in_one_line() {
     let told = |mut program: Command| {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -255,6 +255,7 @@
         let cut =
             |task: &mut Task| (task.patience, task.target) = (task.patience.min(by), task.target.min(by));
         self.tasks.values_mut().for_each(cut);
+        out.wake_after(by.saturating_sub(now + self.margin() * 3));
         self.settle(now, out);
     }
 
@@ -701,9 +702,6 @@
     /// The ordinary path: held tasks leave earliest first per tier, to the engine with most free room.
     fn release(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let held = self.tasks.iter().filter(|(_, task)| task.held()).map(|(id, _)| *id).collect::<Vec<_>>();
-        if held.is_empty() {
-            return false;
-        }
         let lately = now.saturating_sub(self.beat() * 2);
         let gateways = &mut sight.gateways;
         let mut blocked: BTreeSet<(usize, Tier)> = BTreeSet::new();
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -9,7 +9,7 @@
 }
 
 #[derive(Default)]
-struct Lines(String, u64);
+struct Lines(String, u64, Duration);
 
 impl Lines {
     fn add(&mut self, line: std::fmt::Arguments) {
@@ -34,7 +34,9 @@
     fn give_up(&mut self, task: TaskId) {
         self.add(format_args!("give up task {task}"));
     }
-    fn wake_after(&mut self, _: Duration) {}
+    fn wake_after(&mut self, wait: Duration) {
+        self.2 = wait;
+    }
     fn watch(&mut self) {
         self.add(format_args!("watch the list"));
     }
@@ -165,6 +167,13 @@
         self
     }
 
+    /// Wakes the router when it last asked for it.
+    pub fn wake(&mut self) -> &mut Self {
+        self.lines.1 += self.lines.2.as_millis() as u64;
+        self.router.wake(ms(self.lines.1), &mut self.lines);
+        self
+    }
+
     pub fn list_failed(&mut self) -> &mut Self {
         self.router.list_failed(ms(self.lines.1), &mut self.lines);
         self
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -464,3 +464,14 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn the_end_of_the_process_is_not_slept_through() {
+    let mut trace = Trace::new(1, |_, _, _| {});
+    trace.accept(1, 900, 300.0).decided();
+    trace.at(30).closing(130).wake().wake().wake();
+    expect![[r#"
+        70    bounce task 0, back after 400
+    "#]]
+    .assert_eq(&trace.decided());
+}
