Make room only for a connection that is there; test crowds, slow readers and new starts

Seen in the new socket test: two connections were closed for one newcomer, since Front::admit made room before accept had anything to give. Also tested: a client that reads nothing is not read from until it does, an engine told to have started anew breaks what it carried, a port in use.

--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -285,11 +285,14 @@
     fn admit(&mut self, listener: &TcpListener) -> PostAction {
         loop {
             let full = self.floor.clients.table.len() >= self.floor.premises.most_clients();
-            if full && !self.make_room() {
+            if full && self.floor.clients.idlest().is_none() {
                 return self.pause();
             }
             match listener.accept() {
                 Ok((socket, _)) => {
+                    if full {
+                        self.make_room();
+                    }
                     let floor = &mut self.floor;
                     let slot = floor.clients.table.next();
                     match floor.works.attend(socket, move |front| front.client_ready(slot)) {
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -6,7 +6,7 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const PATIENT: Duration = Duration::from_secs(20);
 
@@ -57,6 +57,13 @@
 "rules":{"fallMs":1000.0,"overloadFactor":2.5,"startCapacity":0.3,"warmUpMs":9000.0},"tickMs":5.0,
 "zones":["hall-a"]}"#;
 
+const TAKEN: &str = r#"{"name":"n0","listen":"LISTEN","seed":"1","limits":{"memory_mb":64,"sockets":256},
+"bulletin":"127.0.0.1:1","known":{"no":0,"items":[]},"settings":{"caps":{"cancel":true,"connectTimeoutMs":250,
+"idleCloseMs":15000,"mostTries":3,"retryAfter":false,"streamsPerConn":32},"categories":[],"discovery":"push",
+"domain":{"kindCores":[8],"largestShare":0.4,"lanesCount":true,"sizeMb":[16384]},"instances":1,"kinds":["std-8"],
+"myZone":0,"report":{"how":"none"},"rules":{"fallMs":1000,"overloadFactor":2.5,"startCapacity":0.3,
+"warmUpMs":9000},"tickMs":5,"zones":["hall-a"]}}"#;
+
 fn settings(comes_up: u64, patience: u64) -> String {
     SETTINGS.replace("COMES_UP", &comes_up.to_string()).replace("PATIENCE", &patience.to_string())
 }
@@ -77,6 +84,11 @@
 impl House {
     /// `name` tells the files of tests apart. Without engines, the list names one where nothing listens.
     fn open(name: &str, engines: usize, settings: &str) -> Self {
+        Self::open_within((64, 256), name, engines, settings)
+    }
+
+    /// Within so many MB and descriptors.
+    fn open_within((memory, sockets): (u32, u32), name: &str, engines: usize, settings: &str) -> Self {
         let at = address();
         let listener = || TcpListener::bind((at, 0)).expect("a port");
         let (bulletin, engines): (_, Vec<_>) = (listener(), (0..engines).map(|_| listener()).collect());
@@ -92,7 +104,7 @@
         }
         let members: Vec<String> = addresses.into_iter().enumerate().map(member).collect();
         let text = format!(
-            r#"{{"name":"n0","listen":"{at}:0","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},
+            r#"{{"name":"n0","listen":"{at}:0","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{memory},"sockets":{sockets}}},
             "bulletin":"{}","known":{{"no":1,"items":[{{"no":1,"roster":{{"revision":1,"complete":true,"members":[{}]}}}}]}},
             "settings":{settings}}}"#,
             bulletin.local_addr().expect("an address"),
@@ -218,6 +230,14 @@
         }
     }
 
+    /// Whether there is another command in time.
+    fn has_within(&mut self, time: Duration) -> bool {
+        self.socket.set_read_timeout(Some(time)).expect("a time-out");
+        let has = !self.input.is_empty() || matches!(self.socket.peek(&mut [0]), Ok(1));
+        self.socket.set_read_timeout(Some(PATIENT)).expect("a time-out");
+        has
+    }
+
     fn say(&mut self, id: u64, word: &str, fields: &str, body: &str) {
         let id = format!("{id:016x}");
         let words = [id.as_bytes(), word.as_bytes(), fields.as_bytes(), body.as_bytes()];
@@ -225,17 +245,17 @@
     }
 }
 
-/// A frame of changes: rows of an engine's number, address and state.
-fn changes(number: u64, rows: &[(u32, SocketAddr, u8)]) -> Vec<u8> {
+/// A frame of changes: rows of an engine's number, address, state and late start.
+fn changes(number: u64, rows: &[(u32, SocketAddr, u8, u64)]) -> Vec<u8> {
     let mut payload = Vec::new();
-    for (id, address, state) in rows {
+    for (id, address, state, started) in rows {
         let SocketAddr::V4(address) = address else { panic!("an address of version 4") };
         payload.extend(id.to_be_bytes());
         payload.extend(address.ip().octets());
         payload.extend(address.port().to_be_bytes());
         payload.extend([*state, 0, 0, 0, 0]);
         payload.extend(1000u32.to_be_bytes());
-        payload.extend(0u64.to_be_bytes());
+        payload.extend(started.to_be_bytes());
     }
     let length = 9 + payload.len() as u32;
     [&length.to_be_bytes()[..], &number.to_be_bytes(), &[2], &payload].concat()
@@ -378,7 +398,7 @@
     client.ask(1, "lookup", 8000);
     let mut old = house.engine(0);
     house.note(old.hear());
-    let frame = changes(2, &[(0, address, 2), (7, address, 0)]);
+    let frame = changes(2, &[(0, address, 2, 0), (7, address, 0, 0)]);
     let (first, second) = frame.split_at(11);
     bulletin.write_all(first).expect("it reads");
     bulletin.write_all(second).expect("it reads");
@@ -415,7 +435,7 @@
 fn a_bad_frame_changes_nothing_and_the_bulletin_is_dialled_again() {
     let mut house = House::open("frame", 1, &settings(5000, 8000));
     let address = house.engines[0].local_addr().expect("an address");
-    for frame in [changes(5, &[(0, address, 2)]), changes(1, &[(0, address, 2)]), vec![255; 16]] {
+    for frame in [changes(5, &[(0, address, 2, 0)]), changes(1, &[(0, address, 2, 0)]), vec![255; 16]] {
         let mut bulletin = house.bulletin();
         bulletin.write_all(&frame).expect("it reads");
         assert_eq!(bulletin.read(&mut [0; 1]).unwrap_or(0), 0, "closed by the router");
@@ -629,6 +649,89 @@
     .assert_eq(&house.end(&["tasks_succeeded", "tasks_given_up"]));
 }
 
+#[test]
+fn what_an_engine_carried_ends_when_the_list_tells_of_its_new_start() {
+    let mut house = House::open("anew", 1, &settings(5000, 8000));
+    let mut bulletin = house.bulletin();
+    let address = house.engines[0].local_addr().expect("an address");
+    let mut client = house.client();
+    client.ask(1, "lookup", 8000);
+    let mut engine = house.engine(0);
+    house.note(engine.hear());
+    let soon = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time") + Duration::from_secs(1);
+    bulletin.write_all(&changes(2, &[(0, address, 0, soon.as_millis() as u64)])).expect("it reads");
+    house.note(engine.hear());
+    let mut anew = house.engine(0);
+    house.note(anew.hear());
+    anew.say(1, "HIT", "pages=1", "x\n");
+    house.note(client.hear());
+    expect![[r#"
+        bulletin after 1
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        closed
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":1,"result":{"data":"eAo="}}
+        ended with Some(0): hops_broken=1 hops_succeeded=1
+    "#]]
+    .assert_eq(&house.end(&["hops_broken", "hops_succeeded"]));
+}
+
+#[test]
+fn a_full_house_closes_whoever_is_idle_for_longest() {
+    let mut house = House::open_within((64, 12), "crowd", 1, &settings(5000, 8000));
+    let status = r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#;
+    let mut clients = Vec::new();
+    for _ in 0..7 {
+        let mut client = house.client();
+        client.say(status);
+        client.hear();
+        clients.push(client);
+    }
+    house.note(clients[0].hear());
+    clients[1].say(status);
+    house.note(clients[1].hear());
+    expect![[r#"
+        closed
+        {"id":1,"jsonrpc":"2.0","result":{"serving":true}}
+        ended with Some(0): clients_admitted=7 clients_closed_for_room=1
+    "#]]
+    .assert_eq(&house.end(&["clients_admitted", "clients_closed_for_room"]));
+}
+
+#[test]
+fn a_client_that_reads_nothing_is_not_read_from_until_it_does() {
+    let mut house = House::open_within((4, 64), "slow", 1, &settings(5000, 60_000));
+    let mut client = house.client();
+    let body = "x".repeat(6000);
+    client.ask(1, "lookup", 60_000);
+    let mut engine = house.engine(0);
+    let mut asked = 1;
+    // Far more than the kernel holds for a connection.
+    while asked < 2000 && engine.has_within(Duration::from_secs(2)) {
+        engine.hear();
+        engine.say(asked, "HIT", "pages=8", &body);
+        for page in 1..8 {
+            engine.hear();
+            engine.say(asked, "PART", &format!("page={page}"), &body);
+        }
+        asked += 1;
+        client.ask(asked, "lookup", 60_000);
+    }
+    house.note(format!("waits for its reader: {}", asked < 2000));
+    let whole =
+        (1..asked).all(|id| client.hear().starts_with(&format!(r#"{{"jsonrpc":"2.0","id":{id},"result""#)));
+    house.note(format!("all answers whole and in turn: {whole}"));
+    let next = engine.hear().replace(&format!("{asked:016x}"), "the next task");
+    house.note(next);
+    expect![[r#"
+        waits for its reader: true
+        all answers whole and in turn: true
+        GET the next task queue=lookup,mem=120,prio=2 select 1
+        ended with Some(0): 
+    "#]]
+    .assert_eq(&house.end(&["clients_too_slow"]));
+}
+
 #[test]
 fn a_start_that_fails_says_why_in_one_line() {
     let told = |mut program: Command| {
@@ -651,6 +754,13 @@
     let mut strange = program();
     strange.arg("dance");
     lines.push(told(strange));
+    let house = House::open("taken", 0, &settings(5000, 8000));
+    let mut taken = program();
+    taken
+        .arg("serve")
+        .arg("--config")
+        .arg(file("taken-too", &TAKEN.replace("LISTEN", &house.at.to_string())));
+    lines.push(told(taken).replace(&house.at.to_string(), "the address"));
     lines.push(told(program()));
     expect![[r#"
         Some(1) emberflow: EDGE_CONFIG is not set
@@ -658,6 +768,7 @@
         Some(1) emberflow: /empty.json: `limits` is missing
         Some(1) emberflow: /broken.json: EOF while parsing a value at line 1 column 8
         Some(2) emberflow: no such command: dance
+        Some(1) emberflow: listening on the address: Address already in use (os error 98)
         Some(2) emberflow: a command is missing"#]]
     .assert_eq(&lines.join("\n"));
 }
