Split the open tasks and the outlet off the loop; a doubled id is refused under null

An error under an id that is open already would pass for the answer that the open task is owed (front.rs line, seen by reading).

--- /dev/null
+++ b/crates/router/src/floor.rs
@@ -0,0 +1,149 @@
+//! What the decisions act on: the open tasks, and the outlet that carries out what is decided for them.
+
+use crate::clients::Clients;
+use crate::deadlines::Due;
+use crate::engines::{Call, Engines};
+use crate::jsonrpc;
+use crate::premises::{Premises, whole_ms};
+use crate::slots::{Slot, Slots};
+use crate::works::Works;
+use emberflow::{EngineId, Outlet, TaskId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A task until it has been answered.
+pub struct Task {
+    pub client: Slot,
+    pub id: u64,
+    pub req: String,
+    pub class: usize,
+    pub opkey: Option<String>,
+    pub statement: Vec<u8>,
+    pub grant_mb: f64,
+    pub priority: u8,
+    pub hops: Vec<Slot>,
+}
+
+impl Task {
+    pub fn new(
+        client: Slot,
+        id: u64,
+        req: String,
+        class: usize,
+        opkey: Option<String>,
+        statement: Vec<u8>,
+    ) -> Self {
+        Self { client, id, req, class, opkey, statement, grant_mb: 0.0, priority: 1, hops: Vec::new() }
+    }
+}
+
+/// What the decisions act on.
+pub struct Floor {
+    pub premises: Premises,
+    pub works: Works,
+    pub clients: Clients,
+    pub engines: Engines,
+    pub tasks: Slots<Task>,
+    pub numbers: BTreeMap<TaskId, Slot>,
+    pub next: TaskId,
+    /// Of the statements of all open tasks.
+    pub held_bytes: usize,
+    pub serving: bool,
+}
+
+impl Outlet for Floor {
+    fn send(&mut self, task: TaskId, engine: EngineId, until: Duration) {
+        let Some(row) = self.numbers.get(&task).and_then(|slot| self.tasks.get_mut(*slot)) else {
+            return self.works.counters.must(false, "a_hop_of_an_answered_task");
+        };
+        let call = Call {
+            task,
+            number: row.hops.len(),
+            id: &row.req,
+            class: &self.premises.traffic[row.class],
+            opkey: row.opkey.as_deref(),
+            statement: &row.statement,
+            grant_mb: row.grant_mb,
+            priority: row.priority,
+            until,
+        };
+        let hop = self.engines.send(engine, call, &row.hops, &mut self.works);
+        row.hops.push(hop);
+    }
+    fn terms(&mut self, task: TaskId, grant_mb: f64, priority: u8) {
+        let Some(task) = self.numbers.get(&task).and_then(|slot| self.tasks.get_mut(*slot)) else { return };
+        if task.priority != priority {
+            for hop in &task.hops {
+                self.engines.rank(*hop, priority, &mut self.works);
+            }
+        }
+        (task.grant_mb, task.priority) = (grant_mb, priority);
+    }
+    fn cancel(&mut self, task: TaskId, hop: usize) {
+        if let Some(hop) = self.task(task).and_then(|task| task.hops.get(hop)).copied() {
+            self.engines.cancel(hop, &mut self.works);
+        }
+    }
+    fn bounce(&mut self, task: TaskId, come_back: Option<Duration>) {
+        let holdoff = come_back.map(whole_ms).filter(|ms| *ms > 0);
+        let line = |id| jsonrpc::error(Some(id), jsonrpc::BOUNCED, "bounced: a retry is harmless", holdoff);
+        let answered = self.answer(task, "tasks_bounced", line);
+        self.works.counters.must(answered, "a_second_answer");
+    }
+    fn give_up(&mut self, task: TaskId) {
+        let line = |id| jsonrpc::error(Some(id), jsonrpc::GIVEN_UP, "given up: it may have run", None);
+        let answered = self.answer(task, "tasks_given_up", line);
+        self.works.counters.must(answered, "a_second_answer");
+    }
+    fn wake_after(&mut self, wait: Duration) {
+        self.works.deadlines.set(self.works.now() + wait, Due::Wake);
+    }
+    /// The bulletin tells its changes unasked.
+    fn watch(&mut self) {}
+}
+
+impl Floor {
+    pub fn task(&self, number: TaskId) -> Option<&Task> {
+        self.tasks.get(*self.numbers.get(&number)?)
+    }
+
+    /// Takes a task in under the next number; tells whether the limits allow it.
+    pub fn open(&mut self, task: Task) -> bool {
+        let bytes = self.held_bytes + task.statement.len();
+        if self.tasks.len() >= self.premises.most_open || bytes > self.premises.most_held_bytes() {
+            self.works.counters.count("tasks_over_the_limit");
+            return false;
+        }
+        self.works.counters.count("tasks_taken");
+        self.held_bytes = bytes;
+        if let Some(client) = self.clients.table.get_mut(task.client) {
+            client.open.insert(task.id, self.next);
+        }
+        self.numbers.insert(self.next, self.tasks.insert(task));
+        self.next = self.next.wrapping_add(1);
+        true
+    }
+
+    /// The one final answer of a task; tells whether it was still owed.
+    pub fn answer(&mut self, number: TaskId, how: &'static str, line: impl Fn(u64) -> Vec<u8>) -> bool {
+        let Some(task) = self.close(number, how) else { return false };
+        // A connection that can't be written to tells so by itself.
+        if let Err(error) = self.clients.say(task.client, &line(task.id)) {
+            log::debug!("an answer did not leave: {error}");
+        }
+        true
+    }
+
+    /// Ends a task for the network; what is still out for it is given up, since nobody waits for it.
+    pub fn close(&mut self, number: TaskId, how: &'static str) -> Option<Task> {
+        let task = self.numbers.remove(&number).and_then(|slot| self.tasks.take(slot))?;
+        self.works.counters.count(how);
+        log::debug!("task {number}: {how}");
+        self.held_bytes -= task.statement.len();
+        self.clients.answered(task.client, task.id);
+        for hop in &task.hops {
+            self.engines.cancel(*hop, &mut self.works);
+        }
+        Some(task)
+    }
+}
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -1,13 +1,14 @@
-//! The loop that owns the decisions and carries out what they say.
+//! The loop that owns the decisions: what comes in is told to them, turn by turn.
 
 use crate::bulletin::{Bulletin, Row};
 use crate::clients::{Clients, Heard, MOST_OPEN};
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::deadlines::{Deadlines, Due};
-use crate::engines::{Call, Engines, News};
+use crate::engines::{Engines, News};
+use crate::floor::{Floor, Task};
 use crate::jsonrpc::{self, Objection};
-use crate::premises::{Briefing, Premises, whole_ms};
+use crate::premises::Briefing;
 use crate::ring::Filled;
 use crate::slots::{Slot, Slots};
 use crate::statement;
@@ -15,7 +16,7 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction, RegistrationToken};
-use emberflow::{Arrival, Ended, EngineId, KeyId, Outlet, Router, TaskId};
+use emberflow::{Arrival, Ended, KeyId, Router, TaskId};
 use emberflow_startup::{Fields, from_ms};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -42,20 +43,6 @@
 /// New connections wait so long where there is no room.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// A task until it has been answered.
-struct Task {
-    number: TaskId,
-    client: Slot,
-    id: u64,
-    req: String,
-    class: usize,
-    opkey: Option<String>,
-    statement: Vec<u8>,
-    grant_mb: f64,
-    priority: u8,
-    hops: Vec<Slot>,
-}
-
 pub struct Front {
     router: Router,
     floor: Floor,
@@ -70,97 +57,6 @@
     longest: Duration,
 }
 
-/// What the decisions act on.
-struct Floor {
-    premises: Premises,
-    works: Works,
-    clients: Clients,
-    engines: Engines,
-    tasks: Slots<Task>,
-    numbers: BTreeMap<TaskId, Slot>,
-    next: TaskId,
-    /// Of the statements of all open tasks.
-    held_bytes: usize,
-    serving: bool,
-}
-
-impl Outlet for Floor {
-    fn send(&mut self, task: TaskId, engine: EngineId, until: Duration) {
-        let Some(task) = self.numbers.get(&task).and_then(|slot| self.tasks.get_mut(*slot)) else {
-            return self.works.counters.must(false, "a_hop_of_an_answered_task");
-        };
-        let call = Call {
-            task: task.number,
-            number: task.hops.len(),
-            id: &task.req,
-            class: &self.premises.traffic[task.class],
-            opkey: task.opkey.as_deref(),
-            statement: &task.statement,
-            grant_mb: task.grant_mb,
-            priority: task.priority,
-            until,
-        };
-        let hop = self.engines.send(engine, call, &task.hops, &mut self.works);
-        task.hops.push(hop);
-    }
-    fn terms(&mut self, task: TaskId, grant_mb: f64, priority: u8) {
-        let Some(task) = self.numbers.get(&task).and_then(|slot| self.tasks.get_mut(*slot)) else { return };
-        if task.priority != priority {
-            for hop in &task.hops {
-                self.engines.rank(*hop, priority, &mut self.works);
-            }
-        }
-        (task.grant_mb, task.priority) = (grant_mb, priority);
-    }
-    fn cancel(&mut self, task: TaskId, hop: usize) {
-        let task = self.numbers.get(&task).and_then(|slot| self.tasks.get(*slot));
-        if let Some(hop) = task.and_then(|task| task.hops.get(hop)) {
-            self.engines.cancel(*hop, &mut self.works);
-        }
-    }
-    fn bounce(&mut self, task: TaskId, come_back: Option<Duration>) {
-        let holdoff = come_back.map(whole_ms).filter(|ms| *ms > 0);
-        let line = |id| jsonrpc::error(Some(id), jsonrpc::BOUNCED, "bounced: a retry is harmless", holdoff);
-        let answered = self.answer(task, "tasks_bounced", line);
-        self.works.counters.must(answered, "a_second_answer");
-    }
-    fn give_up(&mut self, task: TaskId) {
-        let line = |id| jsonrpc::error(Some(id), jsonrpc::GIVEN_UP, "given up: it may have run", None);
-        let answered = self.answer(task, "tasks_given_up", line);
-        self.works.counters.must(answered, "a_second_answer");
-    }
-    fn wake_after(&mut self, wait: Duration) {
-        self.works.deadlines.set(self.works.now() + wait, Due::Wake);
-    }
-    /// The bulletin tells its changes unasked.
-    fn watch(&mut self) {}
-}
-
-impl Floor {
-    /// The one final answer of a task; tells whether it was still owed.
-    fn answer(&mut self, number: TaskId, how: &'static str, line: impl Fn(u64) -> Vec<u8>) -> bool {
-        let Some(task) = self.close(number, how) else { return false };
-        // A connection that can't be written to tells so by itself.
-        if let Err(error) = self.clients.say(task.client, &line(task.id)) {
-            log::debug!("an answer did not leave: {error}");
-        }
-        true
-    }
-
-    /// Ends a task for the network; what is still out for it is given up, since nobody waits for it.
-    fn close(&mut self, number: TaskId, how: &'static str) -> Option<Task> {
-        let task = self.numbers.remove(&number).and_then(|slot| self.tasks.take(slot))?;
-        self.works.counters.count(how);
-        log::debug!("task {number}: {how}");
-        self.held_bytes -= task.statement.len();
-        self.clients.answered(task.client, task.id);
-        for hop in &task.hops {
-            self.engines.cancel(*hop, &mut self.works);
-        }
-        Some(task)
-    }
-}
-
 impl Front {
     /// Serves until a planned restart ends it.
     pub fn run(briefing: Briefing) -> Result<(), String> {
@@ -375,57 +271,68 @@
     }
 
     fn line(&mut self, slot: Slot, line: &[u8]) -> Result<(), Objection> {
-        let now = self.floor.works.now();
         let (id, method, params) = jsonrpc::request(line)?;
-        let invalid = |what: &str| (id, jsonrpc::INVALID, what.to_owned());
-        if method == "status" {
-            let id = id.ok_or_else(|| invalid("`status` without an id"))?;
-            let serving = self.floor.serving && self.leaving.is_none();
-            if self.floor.clients.say(slot, &jsonrpc::status(id, serving)).is_err() {
-                self.client_gone(slot);
+        match method.as_str() {
+            "status" => self.status(slot, id),
+            "withdraw" => {
+                self.withdrawn(slot, id, Fields(&params));
+                Ok(())
             }
-            return Ok(());
+            _ => self.take(slot, id, &method, Fields(&params)),
         }
-        let fields = Fields(&params);
-        let wrong = |what: String| (id, jsonrpc::BAD_PARAMS, what);
-        if method == "withdraw" {
-            log::debug!("withdraw: {}", String::from_utf8_lossy(line));
-            let req = fields.text("req").unwrap_or_default();
-            let other = fields.whole("id").ok().or(id);
-            let Some(client) = self.floor.clients.table.get(slot) else { return Ok(()) };
-            let floor = &self.floor;
-            let named = |number: &TaskId| {
-                let task = floor.numbers.get(number).and_then(|slot| floor.tasks.get(*slot));
-                task.is_some_and(|task| task.req == req || Some(task.id) == other)
-            };
-            if let Some(task) = client.open.values().copied().find(named) {
-                self.withdraw(now, task);
-            }
-            return Ok(());
+    }
+
+    fn status(&mut self, slot: Slot, id: Option<u64>) -> Result<(), Objection> {
+        let id = id.ok_or_else(|| (id, jsonrpc::INVALID, "`status` without an id".to_owned()))?;
+        let serving = self.floor.serving && self.leaving.is_none();
+        if self.floor.clients.say(slot, &jsonrpc::status(id, serving)).is_err() {
+            self.client_gone(slot);
         }
-        let class = self.floor.premises.traffic.iter().position(|name| *name == method);
+        Ok(())
+    }
+
+    /// A client has stopped waiting for a task, which it names by its `req` or by its id here.
+    fn withdrawn(&mut self, slot: Slot, id: Option<u64>, fields: Fields) {
+        let (req, id) = (fields.text("req").unwrap_or_default(), fields.whole("id").ok().or(id));
+        let Some(client) = self.floor.clients.table.get(slot) else { return };
+        let named = |number: &TaskId| {
+            self.floor.task(*number).is_some_and(|task| task.req == req || Some(task.id) == id)
+        };
+        if let Some(task) = client.open.values().copied().find(named) {
+            self.withdraw(self.floor.works.now(), task);
+        }
+    }
+
+    fn take(&mut self, slot: Slot, id: Option<u64>, method: &str, fields: Fields) -> Result<(), Objection> {
+        let now = self.floor.works.now();
+        let class = self.floor.premises.traffic.iter().position(|name| name == method);
         let class = class.ok_or_else(|| (id, jsonrpc::NO_METHOD, format!("no method `{method}`")))?;
-        let id = id.ok_or_else(|| invalid("a task without an id"))?;
+        let invalid = |id: Option<u64>, what: &str| Err((id, jsonrpc::INVALID, what.to_owned()));
+        let Some(number) = id else { return invalid(None, "a task without an id") };
         let Some(client) = self.floor.clients.table.get(slot) else { return Ok(()) };
-        if client.open.contains_key(&id) {
-            return Err(invalid("`id` is open already"));
+        if client.open.contains_key(&number) {
+            // Under that id it would pass for the answer that the open one is owed.
+            return invalid(None, "`id` is open already");
         }
         if client.open.len() >= MOST_OPEN {
-            return Err(invalid("too many open requests"));
+            return invalid(id, "too many open requests");
         }
+        let wrong = |what: String| (id, jsonrpc::BAD_PARAMS, what);
+        let maybe_text =
+            |name: &str| fields.maybe(name).map(|_| fields.text(name)).transpose().map_err(wrong);
+        let positive = |name: &str| {
+            let value = fields.maybe(name).map(|_| fields.number(name)).transpose().map_err(wrong)?;
+            Ok(value.filter(|v| *v > 0.0).map(|v| v.min(1e9)))
+        };
         let req = fields.text("req").map_err(wrong)?;
         if req.len() != 16 || !req.bytes().all(|b| b.is_ascii_hexdigit()) {
             return Err(wrong("`req` is not 16 hex digits".into()));
         }
-        let opkey = fields.maybe("opkey").map(|_| fields.text("opkey")).transpose().map_err(wrong)?;
+        let opkey = maybe_text("opkey")?;
         if opkey.is_some_and(|key| key.bytes().any(|b| !b.is_ascii_alphanumeric())) {
             return Err(wrong("`opkey` holds more than letters and digits".into()));
         }
-        let subject = fields.maybe("subject").map(|_| fields.text("subject")).transpose().map_err(wrong)?;
-        let positive = |name: &str| match fields.maybe(name).map(|_| fields.number(name)).transpose() {
-            Ok(value) => Ok(value.filter(|v| *v > 0.0).map(|v| v.min(1e9))),
-            Err(fault) => Err(wrong(fault)),
-        };
+        let subject = maybe_text("subject")?;
         let patience = positive("timeout")?.ok_or_else(|| wrong("`timeout` is not above 0".into()))?;
         let (cost, memory_mb) = (positive("ms")?.map(from_ms).filter(|c| !c.is_zero()), positive("memory")?);
         let body = jsonrpc::body(fields.text("data").map_err(wrong)?);
@@ -435,17 +342,8 @@
             Some(value) => value.as_u64() != Some(0),
         };
         let floor = &mut self.floor;
-        let bytes = floor.held_bytes + statement.len();
-        if floor.tasks.len() >= floor.premises.most_open || bytes > floor.premises.most_held_bytes() {
-            floor.works.counters.count("tasks_over_the_limit");
-            return Err((Some(id), jsonrpc::BOUNCED, "too many tasks are open".into()));
-        }
-        floor.held_bytes = bytes;
-        let number = floor.next;
-        floor.next = floor.next.wrapping_add(1);
-        floor.works.counters.count("tasks_taken");
         let arrival = Arrival {
-            task: number,
+            task: floor.next,
             traffic: class,
             key: subject.map(key),
             cost,
@@ -455,26 +353,14 @@
             group: std::str::from_utf8(&statement).ok().and_then(statement::group),
         };
         log::debug!(
-            "task {number} {req}: {method}, cost {cost:?}, memory {memory_mb:?} MB, group {:?}, patience {patience} ms, \
+            "task {} {req}: {method}, cost {cost:?}, memory {memory_mb:?} MB, group {:?}, patience {patience} ms, \
              resent {resent}, key {opkey:?}",
+            arrival.task,
             arrival.group
         );
-        log::trace!("task {number}: {:?}", String::from_utf8_lossy(&statement));
-        let row = floor.tasks.insert(Task {
-            number,
-            client: slot,
-            id,
-            req: req.to_owned(),
-            class,
-            opkey: opkey.map(str::to_owned),
-            statement,
-            grant_mb: 0.0,
-            priority: 1,
-            hops: Vec::new(),
-        });
-        floor.numbers.insert(number, row);
-        if let Some(client) = floor.clients.table.get_mut(slot) {
-            client.open.insert(id, number);
+        let (req, opkey) = (req.to_owned(), opkey.map(str::to_owned));
+        if !floor.open(Task::new(slot, number, req, class, opkey, statement)) {
+            return Err((id, jsonrpc::BOUNCED, "too many tasks are open".into()));
         }
         self.router.accept(now, arrival, floor);
         Ok(())
@@ -528,7 +414,9 @@
 
     fn bulletin_ready(&mut self) {
         if let Err(why) = self.read_bulletin() {
-            log::info!("bulletin: {why}");
+            if self.bulletin.greeted {
+                log::info!("bulletin: {why}");
+            }
             let works = &mut self.floor.works;
             works.counters.count("bulletin_lost");
             self.bulletin.wire = None;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 mod counters;
 mod deadlines;
 mod engines;
+mod floor;
 pub mod front;
 pub mod jsonrpc;
 pub mod premises;
