Keep a later hop off the connection that may still answer an earlier one

Seen by reading, then shown by a new socket test: Engines::send asked the table of hops for the connections of earlier ones, but a hop has left that table when a later one is sent, so a late answer to a hop that was given up passed for the later hop's (a late SHED would have told that what runs never ran). The task now keeps those connections.

--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -80,7 +80,8 @@
 
 /// What the decisions are to be told next.
 pub enum News {
-    Ended(Ended, Option<Vec<u8>>),
+    /// A hop's end, its result, and the connection that may still bring an answer to it.
+    Ended(Ended, Option<Vec<u8>>, Option<Slot>),
     Noticed(TaskId, usize, Notice),
 }
 
@@ -149,8 +150,8 @@
         }
     }
 
-    /// Sends a hop, on a connection that no earlier hop of its task went over: answers name the task alone.
-    pub fn send(&mut self, engine: EngineId, call: Call, earlier: &[Slot], works: &mut Works) -> Slot {
+    /// Sends a hop, on a connection that owes no answer to an earlier hop: answers name the task alone.
+    pub fn send(&mut self, engine: EngineId, call: Call, owing: &[Slot], works: &mut Works) -> Slot {
         let now = works.now();
         let fields = [
             Some(format!("queue={}", call.class)),
@@ -161,8 +162,7 @@
         ];
         let fields = fields.into_iter().flatten().collect::<Vec<_>>().join(",");
         let words = resp::array(&[b"GET", call.id.as_bytes(), fields.as_bytes(), call.statement]);
-        let used: Vec<Slot> =
-            earlier.iter().filter_map(|hop| self.hops.get(*hop)?.link).chain(self.used_by(call.id)).collect();
+        let used: Vec<Slot> = owing.iter().copied().chain(self.used_by(call.id)).collect();
         let hop = self.hops.insert(Hop {
             task: call.task,
             number: call.number,
@@ -206,13 +206,14 @@
             works.counters.count("links_refused");
             log::info!("engine {engine}: no connection: {e}");
         });
+        let wire = wire.ok()?;
         let now = works.now();
         let due = now + self.comes_up;
         works.deadlines.set(due, Due::Link(slot));
         works.counters.count("links_dialled");
         let slot = self.links.insert(Link {
             engine,
-            wire: wire.ok()?,
+            wire,
             up: false,
             retired: false,
             input: Ring::default(),
@@ -465,7 +466,8 @@
             ended.bill,
             ended.signals
         );
-        self.news.push_back(News::Ended(ended, body));
+        let given_up = matches!(end, HopEnd::Withdrawn | HopEnd::TimedOut);
+        self.news.push_back(News::Ended(ended, body, hop.link.filter(|_| given_up)));
     }
 
     fn write(&mut self, hop: Slot, bytes: &[u8], works: &mut Works) {
--- a/crates/router/src/floor.rs
+++ b/crates/router/src/floor.rs
@@ -22,6 +22,8 @@
     pub grant_mb: f64,
     pub priority: u8,
     pub hops: Vec<Slot>,
+    /// Connections that may still bring an answer to a hop that was given up.
+    pub owing: Vec<Slot>,
 }
 
 impl Task {
@@ -33,7 +35,8 @@
         opkey: Option<String>,
         statement: Vec<u8>,
     ) -> Self {
-        Self { client, id, req, class, opkey, statement, grant_mb: 0.0, priority: 1, hops: Vec::new() }
+        let (grant_mb, priority, hops, owing) = (0.0, 1, Vec::new(), Vec::new());
+        Self { client, id, req, class, opkey, statement, grant_mb, priority, hops, owing }
     }
 }
 
@@ -67,7 +70,7 @@
             priority: row.priority,
             until,
         };
-        let hop = self.engines.send(engine, call, &row.hops, &mut self.works);
+        let hop = self.engines.send(engine, call, &row.owing, &mut self.works);
         row.hops.push(hop);
     }
     fn terms(&mut self, task: TaskId, grant_mb: f64, priority: u8) {
@@ -103,6 +106,13 @@
 }
 
 impl Floor {
+    /// Notes a connection that later hops of a task are to avoid.
+    pub fn avoid(&mut self, number: TaskId, link: Slot) {
+        if let Some(task) = self.numbers.get(&number).and_then(|slot| self.tasks.get_mut(*slot)) {
+            task.owing.push(link);
+        }
+    }
+
     pub fn task(&self, number: TaskId) -> Option<&Task> {
         self.tasks.get(*self.numbers.get(&number)?)
     }
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -160,7 +160,10 @@
                 News::Noticed(task, hop, notice) => {
                     self.router.notice(now, task, hop, notice, &mut self.floor);
                 }
-                News::Ended(ended, body) => self.ended(now, ended, body),
+                News::Ended(ended, body, owing) => {
+                    owing.inspect(|link| self.floor.avoid(ended.task, *link));
+                    self.ended(now, ended, body);
+                }
             }
         }
     }
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -336,6 +336,37 @@
     ]));
 }
 
+#[test]
+fn a_later_hop_avoids_the_connection_that_may_still_answer_an_earlier_one() {
+    let mut house = House::open("owing", 1, &settings(5000, 8000));
+    let mut client = house.client();
+    client.ask(1, "lookup", 8000);
+    let mut engine = house.engine(0);
+    house.note(engine.hear());
+    engine.say(1, "SHED", "-", "");
+    house.note(engine.hear());
+    // A first hop that stands is moved; there is no other engine.
+    client.ask(2, "lookup", 8000);
+    house.note(engine.hear());
+    engine.say(2, "INFO", "detail=stall,v=1", "");
+    house.note(engine.hear());
+    engine.say(2, "SHED", "-", "");
+    let mut anew = house.engine(0);
+    house.note(anew.hear());
+    anew.say(2, "HIT", "pages=1", "from the second hop\n");
+    house.note(client.hear());
+    expect![[r#"
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        GET 0000000000000002 queue=lookup,mem=120,prio=2 select 1
+        DROP 0000000000000002
+        GET 0000000000000002 queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":2,"result":{"data":"ZnJvbSB0aGUgc2Vjb25kIGhvcAo="}}
+        ended with Some(0): engine_answers_for_nothing=1 hops_withdrawn=2 links_dialled=2
+    "#]]
+    .assert_eq(&house.end(&["hops_withdrawn", "engine_answers_for_nothing", "links_dialled"]));
+}
+
 #[test]
 fn a_reset_after_the_call_may_have_run_and_a_refused_connection_has_not() {
     let mut house = House::open("reset", 1, &settings(5000, 8000));
