--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -187,10 +187,14 @@
 
     /// A task with further fields.
     fn ask_about(&mut self, more: &str, id: u64, method: &str, timeout: u64) {
+        self.say(Self::line(more, id, method, timeout).trim_end());
+    }
+
+    fn line(more: &str, id: u64, method: &str, timeout: u64) -> String {
         let (req, data) = (format!("{id:016x}"), "c2VsZWN0IDE=");
-        self.say(&format!(
+        format!(
             r#"{{"jsonrpc":"2.0","id":{id},"method":"{method}","params":{{{more}"req":"{req}","timeout":{timeout},"ms":50.0,"memory":96,"data":"{data}"}}}}"#
-        ));
+        ) + "\n"
     }
 
     fn hear(&mut self) -> String {
@@ -420,6 +424,35 @@
     .assert_eq(&house.end(&["links_silent", "hops_unreachable", "links_dialled"]));
 }
 
+#[test]
+fn what_waits_for_a_connection_is_never_written_once_its_engine_drains() {
+    let mut house = House::open("waiting", 1, &settings(2000, 8000));
+    let mut bulletin = house.bulletin();
+    let address = house.engines[0].local_addr().expect("an address");
+    let mut client = house.client();
+    client.ask(1, "lookup", 8000);
+    let mut engine = house.engine(0);
+    house.note(engine.hear());
+    engine.say(1, "HIT", "pages=1", "x\n");
+    house.note(client.hear());
+    std::thread::sleep(Duration::from_millis(2100));
+    client.ask(2, "post", 8000);
+    house.note(engine.hear());
+    bulletin.write_all(&changes(2, &[(0, address, 1, 0)])).expect("it reads");
+    house.note(client.hear());
+    engine.say(0, "PONG", "-", "");
+    let counters = house.end(&["hops_void", "links_silent"]);
+    expect![[r#"
+        bulletin after 1
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":1,"result":{"data":"eAo="}}
+        PING 0
+        {"error":{"code":-32011,"data":{"holdoff":400},"message":"bounced: a retry is harmless"},"id":2,"jsonrpc":"2.0"}
+        ended with Some(0): hops_void=1
+        closed
+    "#]].assert_eq(&format!("{counters}{}\n", engine.hear()));
+}
+
 #[test]
 fn drains_are_kept_and_a_new_engine_at_an_old_address_is_another() {
     let mut house = House::open("drain", 1, &settings(5000, 8000));
@@ -466,7 +499,11 @@
 fn a_bad_frame_changes_nothing_and_the_bulletin_is_dialled_again() {
     let mut house = House::open("frame", 1, &settings(5000, 8000));
     let address = house.engines[0].local_addr().expect("an address");
-    for frame in [changes(5, &[(0, address, 2, 0)]), changes(1, &[(0, address, 2, 0)]), vec![255; 16]] {
+    let mut no_such_kind = changes(2, &[(0, address, 0, 0)]);
+    no_such_kind[25] = 9;
+    let gap = changes(5, &[(0, address, 2, 0)]);
+    let back = changes(1, &[(0, address, 2, 0)]);
+    for frame in [gap, back, no_such_kind, vec![255; 16]] {
         let mut bulletin = house.bulletin();
         bulletin.write_all(&frame).expect("it reads");
         assert_eq!(bulletin.read(&mut [0; 1]).unwrap_or(0), 0, "closed by the router");
@@ -479,8 +516,9 @@
         bulletin after 1
         bulletin after 1
         bulletin after 1
+        bulletin after 1
         GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
-        ended with Some(0): bulletin_lost=3 list_events=1
+        ended with Some(0): bulletin_lost=4 list_events=1
     "#]]
     .assert_eq(&house.end(&["bulletin_lost", "list_events"]));
 }
@@ -758,9 +796,18 @@
         waits for its reader: true
         all answers whole and in turn: true
         GET the next task queue=lookup,mem=120,prio=2 select 1
-        ended with Some(0): 
+        ended with Some(0): hops_sent=69 tasks_bounced=1 tasks_succeeded=68 tasks_taken=69
     "#]]
-    .assert_eq(&house.end(&["clients_too_slow"]));
+    .assert_eq(&house.end(&[
+        "clients_too_slow",
+        "tasks_taken",
+        "tasks_succeeded",
+        "tasks_withdrawn",
+        "tasks_bounced",
+        "tasks_given_up",
+        "hops_sent",
+        "engine_input_malformed",
+    ]));
 }
 
 #[test]
