--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -241,6 +241,7 @@
         let now = works.now();
         if link.up && link.due.is_none() && now > link.heard + self.comes_up {
             link.output.push(&resp::array(&[b"PING", b"0"]));
+            works.counters.count("links_checked");
             let due = now + self.comes_up;
             link.due = Some(due);
             works.deadlines.set(due, Due::Link(slot));
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -38,6 +38,8 @@
 /// no more than the second figure counts.
 const STRAGGLERS: Duration = Duration::from_millis(700);
 const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+/// What the signal and the last answers may take on their way.
+const ON_THE_WAY: Duration = Duration::from_millis(150);
 /// How often an end is looked for.
 const LOOK: Duration = Duration::from_millis(10);
 /// New connections wait so long where there is no room.
@@ -65,7 +67,8 @@
         let fault = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
         let mut event_loop = EventLoop::try_new().map_err(|e| fault("the loop", &e))?;
         let ear = event_loop.handle();
-        let stops = Signals::new(&[Signal::SIGTERM, Signal::SIGUSR1]).map_err(|e| fault("signals", &e))?;
+        let stops = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])
+            .map_err(|e| fault("signals", &e))?;
         let heard =
             |event: calloop::signals::Event, _: &mut (), front: &mut Self| front.signal(event.signal());
         ear.insert_source(stops, heard).map_err(|e| fault("signals", &e))?;
@@ -462,10 +465,10 @@
 
     fn signal(&mut self, signal: Signal) {
         log::info!("counters: {}", self.floor.works.counters);
-        if signal == Signal::SIGTERM && self.leaving.is_none() {
+        if signal != Signal::SIGUSR1 && self.leaving.is_none() {
             let works = &mut self.floor.works;
             let now = works.now();
-            let by = now + self.longest.min(LONGEST_COUNTED) + STRAGGLERS;
+            let by = now + self.longest.min(LONGEST_COUNTED) + STRAGGLERS - ON_THE_WAY;
             self.leaving = Some(by);
             works.deadlines.set(now + STRAGGLERS, Due::Leave);
             self.router.closing(now, by, &mut self.floor);
