Send a new priority behind a call that still waits for its connection

Seen by a new test of the engines' side: a priority named while the call waited was lost (rank asked for written hops only). Also tested: withdrawal by id.

--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -479,11 +479,13 @@
         }
     }
 
-    /// A new priority of a hop that is out.
+    /// A new priority of a hop that is out, behind its call.
     pub fn rank(&mut self, hop: Slot, priority: u8, works: &mut Works) {
-        if let Some(row) = self.hops.get(hop).filter(|row| row.written.is_some()) {
-            let bytes = resp::array(&[b"RANK", row.id.as_bytes(), priority.to_string().as_bytes()]);
-            self.write(hop, &bytes, works);
+        let Some(row) = self.hops.get_mut(hop) else { return };
+        let bytes = resp::array(&[b"RANK", row.id.as_bytes(), priority.to_string().as_bytes()]);
+        match row.written {
+            Some(_) => self.write(hop, &bytes, works),
+            None => row.call.extend(bytes),
         }
     }
 
@@ -564,3 +566,60 @@
         disks: figure(["x1", "x1"])?,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{clock::Clock, counters::Counters, deadlines::Deadlines};
+    use std::io::{BufRead, BufReader};
+    use std::net::TcpListener;
+
+    #[test]
+    fn a_new_priority_of_a_hop_that_is_out_goes_to_its_engine() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let event_loop = calloop::EventLoop::try_new().expect("a loop");
+        let mut works = Works {
+            clock: Clock::starting(Duration::ZERO),
+            deadlines: Deadlines::default(),
+            counters: Counters::default(),
+            ear: event_loop.handle(),
+        };
+        let mut engines = Engines {
+            book: Vec::new(),
+            numbers: BTreeMap::new(),
+            links: Slots::default(),
+            hops: Slots::default(),
+            news: VecDeque::new(),
+            unread: Vec::new(),
+            streams: 1,
+            comes_up: Duration::from_secs(20),
+            idle_close: Duration::from_secs(20),
+            most_links: 1,
+        };
+        let row = Row { id: 7, address, ready: true, location: 0, kind: 0, cell: 0, up_since_ms: 0 };
+        let engine = engines.listed(&row, &mut works).engine;
+        let (id, class, until) = ("9b1f03aa5c7e2d41", "report", works.now() + Duration::from_secs(20));
+        let call = Call {
+            task: 0,
+            number: 0,
+            id,
+            class,
+            opkey: None,
+            statement: b"",
+            grant_mb: 0.0,
+            priority: 1,
+            until,
+        };
+        let hop = engines.send(engine, call, &[], &mut works);
+        engines.rank(hop, 3, &mut works);
+        let (socket, _) = listener.accept().expect("a connection");
+        let link = engines.hops.get(hop).and_then(|hop| hop.link).expect("a connection");
+        engines.ready(link, &mut works);
+        engines.rank(hop, 2, &mut works);
+        socket.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
+        let lines = BufReader::new(socket).lines().map(|line| line.expect("text")).skip(10).take(13);
+        expect_test::expect!["$4 RANK $16 9b1f03aa5c7e2d41 $1 3 *3 $4 RANK $16 9b1f03aa5c7e2d41 $1 2"]
+            .assert_eq(&lines.collect::<Vec<_>>().join(" "));
+    }
+}
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -661,6 +661,10 @@
     house.note(engine.hear());
     other.say(r#"{"jsonrpc":"2.0","method":"withdraw","params":{"req":"0000000000000002"}}"#);
     house.note(engine.hear());
+    other.ask(3, "lookup", 8000);
+    house.note(engine.hear());
+    other.say(r#"{"jsonrpc":"2.0","id":4,"method":"withdraw","params":{"id":3}}"#);
+    house.note(engine.hear());
     engine.say(2, "HIT", "pages=1", "for nobody\n");
     engine.say(1, "HIT", "pages=1", "for the one that waits\n");
     house.note(client.hear()).note(client.hear());
@@ -668,9 +672,11 @@
         GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
         GET 0000000000000002 queue=lookup,mem=120,prio=2 select 1
         DROP 0000000000000002
+        GET 0000000000000003 queue=lookup,mem=120,prio=2 select 1
+        DROP 0000000000000003
         {"jsonrpc":"2.0","id":1,"result":{"data":"Zm9yIHRoZSBvbmUgdGhhdCB3YWl0cwo="}}
         closed
-        ended with Some(0): hops_withdrawn=1 tasks_succeeded=1 tasks_withdrawn=1
+        ended with Some(0): hops_withdrawn=2 tasks_succeeded=1 tasks_withdrawn=2
     "#]]
     .assert_eq(&house.end(&["tasks_succeeded", "tasks_withdrawn", "hops_withdrawn"]));
 }
