Fold what the network code said twice: one table of tasks, one check of figures

Found on reading the whole change again. The lookup of a task by its number stood in four places and is Tasks::get and get_mut; Engines::used_by walked all connections and copied a list on every send, where link_for can look at the engine's own; the bulletin's deadline was set in three places; the engines' test built its own copy of Engines::new; whole_ms stood among what is told at start. Figures in load reports go through the check that other figures had: one that is not finite is malformed there too, where it passed before.

--- a/crates/router/src/bulletin.rs
+++ b/crates/router/src/bulletin.rs
@@ -10,7 +10,7 @@
 
 const RECORD: usize = 27;
 /// Bytes of the largest frame: far more engines than any list has.
-const MOST_BYTES: usize = 1 << 20;
+pub const MOST_BYTES: usize = 1 << 20;
 
 /// One line of the list, as the configuration and the frames tell it alike.
 pub struct Row {
--- a/crates/router/src/clock.rs
+++ b/crates/router/src/clock.rs
@@ -1,6 +1,7 @@
 //! The one clock: spans since a while before the start, so that what was told to have happened in that while
 //! has a time as well.
 
+use emberflow_startup::to_ms;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub struct Clock {
@@ -25,3 +26,8 @@
         Duration::from_millis(ms).saturating_sub(self.zero)
     }
 }
+
+/// Whole milliseconds, for a line that has only those.
+pub fn whole_ms(time: Duration) -> u64 {
+    to_ms(time).floor() as u64
+}
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -1,8 +1,8 @@
 //! The engines' side: connections, hops, the pages of a result. It chooses no engine and answers no client.
 
 use crate::bulletin::Row;
+use crate::clock::whole_ms;
 use crate::deadlines::Due;
-use crate::premises::{Premises, whole_ms};
 use crate::resp;
 use crate::ring::{Filled, Ring};
 use crate::slots::{Slot, Slots};
@@ -45,11 +45,11 @@
     idle: Option<Duration>,
 }
 
-pub struct Hop {
+struct Hop {
     task: TaskId,
     number: usize,
     engine: EngineId,
-    pub link: Option<Slot>,
+    link: Option<Slot>,
     id: String,
     call: Vec<u8>,
     sent: Duration,
@@ -100,7 +100,8 @@
 }
 
 impl Engines {
-    pub fn new(premises: &Premises) -> Self {
+    /// Of a connection: what it carries, how soon it must come up, when an engine closes an idle one.
+    pub fn new(streams: usize, comes_up: Duration, idle_close: Duration, most_links: usize) -> Self {
         Self {
             book: Vec::new(),
             numbers: BTreeMap::new(),
@@ -108,10 +109,10 @@
             hops: Slots::default(),
             news: VecDeque::new(),
             unread: Vec::new(),
-            streams: premises.streams,
-            comes_up: premises.comes_up,
-            idle_close: premises.idle_close,
-            most_links: premises.most_links(),
+            streams,
+            comes_up,
+            idle_close,
+            most_links,
         }
     }
 
@@ -162,7 +163,6 @@
         ];
         let fields = fields.into_iter().flatten().collect::<Vec<_>>().join(",");
         let words = resp::array(&[b"GET", call.id.as_bytes(), fields.as_bytes(), call.statement]);
-        let used: Vec<Slot> = owing.iter().copied().chain(self.used_by(call.id)).collect();
         let hop = self.hops.insert(Hop {
             task: call.task,
             number: call.number,
@@ -177,22 +177,20 @@
         });
         works.deadlines.set(call.until, Due::Hop(hop));
         works.counters.count("hops_sent");
-        match self.link_for(engine, &used, works) {
+        match self.link_for(engine, call.id, owing, works) {
             Some(link) => self.put(hop, link, works),
             None => self.end(hop, HopEnd::Unreachable, None, works),
         }
         hop
     }
 
-    fn used_by(&self, id: &str) -> Vec<Slot> {
-        self.links.iter().filter(|(_, link)| link.hops.contains_key(id)).map(|(slot, _)| slot).collect()
-    }
-
     /// A connection with room for another hop: the first that is up, else one coming up, else a new one.
-    fn link_for(&mut self, engine: EngineId, used: &[Slot], works: &mut Works) -> Option<Slot> {
+    fn link_for(&mut self, engine: EngineId, id: &str, owing: &[Slot], works: &mut Works) -> Option<Slot> {
         let links = self.book[engine].links.iter().filter_map(|slot| Some((*slot, self.links.get(*slot)?)));
-        let open = links
-            .filter(|(slot, link)| !link.retired && link.hops.len() < self.streams && !used.contains(slot));
+        let open = links.filter(|(slot, link)| {
+            let apart = !owing.contains(slot) && !link.hops.contains_key(id);
+            apart && !link.retired && link.hops.len() < self.streams
+        });
         if let Some((slot, _)) = open.min_by_key(|(_, link)| !link.up) {
             return Some(slot);
         }
@@ -339,13 +337,8 @@
     ) -> Result<(), String> {
         let Some(hop) = self.hops.get_mut(slot) else { return Ok(()) };
         let text = |name: &str| resp::field(fields, name, (',', '='));
-        let figure = |name: &str| match text(name) {
-            Some(value) => match value.parse::<f64>() {
-                Ok(value) if value.is_finite() => Ok(Some(value.max(0.0))),
-                _ => Err(format!("`{name}` is no number: {value}")),
-            },
-            None => Ok(None),
-        };
+        let figure =
+            |name: &str| text(name).map(|value| number(name, value).map(|value| value.max(0.0))).transpose();
         let signals = text("use").map(signals).transpose()?;
         match word {
             "HIT" if hop.result.is_none() => {
@@ -555,18 +548,23 @@
 
 /// The load that an answer reports, by the names of the settings or those of the pages.
 fn signals(load: &str) -> Result<Signals, String> {
-    let figure = |names: [&str; 2]| {
-        let value = names.iter().find_map(|name| resp::field(load, name, (';', ':')));
-        value.map(|v| v.parse::<f64>().map_err(|_| format!("a load of {v}"))).transpose()
+    let figure = |names: &[&str]| {
+        let found = names.iter().find_map(|name| Some((*name, resp::field(load, name, (';', ':'))?)));
+        found.map(|(name, value)| number(name, value)).transpose()
     };
     Ok(Signals {
-        busy: figure(["busy", "util"])?,
-        waiting: figure(["q", "queue"])?,
-        memory: figure(["x0", "x0"])?,
-        disks: figure(["x1", "x1"])?,
+        busy: figure(&["busy", "util"])?,
+        waiting: figure(&["q", "queue"])?,
+        memory: figure(&["x0"])?,
+        disks: figure(&["x1"])?,
     })
 }
 
+fn number(name: &str, value: &str) -> Result<f64, String> {
+    let number = value.parse().ok().filter(|number: &f64| number.is_finite());
+    number.ok_or_else(|| format!("`{name}` is no number: {value}"))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -585,18 +583,8 @@
             counters: Counters::default(),
             ear: event_loop.handle(),
         };
-        let mut engines = Engines {
-            book: Vec::new(),
-            numbers: BTreeMap::new(),
-            links: Slots::default(),
-            hops: Slots::default(),
-            news: VecDeque::new(),
-            unread: Vec::new(),
-            streams: 1,
-            comes_up: Duration::from_secs(20),
-            idle_close: Duration::from_secs(20),
-            most_links: 1,
-        };
+        let long = Duration::from_secs(20);
+        let mut engines = Engines::new(1, long, long, 1);
         let row = Row { id: 7, address, ready: true, location: 0, kind: 0, cell: 0, up_since_ms: 0 };
         let engine = engines.listed(&row, &mut works).engine;
         let (id, class, until) = ("9b1f03aa5c7e2d41", "report", works.now() + Duration::from_secs(20));
--- a/crates/router/src/floor.rs
+++ b/crates/router/src/floor.rs
@@ -1,10 +1,11 @@
 //! What the decisions act on: the open tasks, and the outlet that carries out what is decided for them.
 
 use crate::clients::Clients;
+use crate::clock::whole_ms;
 use crate::deadlines::Due;
 use crate::engines::{Call, Engines};
 use crate::jsonrpc;
-use crate::premises::{Premises, whole_ms};
+use crate::premises::Premises;
 use crate::slots::{Slot, Slots};
 use crate::works::Works;
 use emberflow::{EngineId, Outlet, TaskId};
@@ -40,23 +41,56 @@
     }
 }
 
+/// The open tasks, by the numbers that the decisions know them by.
+#[derive(Default)]
+pub struct Tasks {
+    table: Slots<Task>,
+    numbers: BTreeMap<TaskId, Slot>,
+    /// The number of the next.
+    pub next: TaskId,
+    /// Of all their statements.
+    bytes: usize,
+}
+
+impl Tasks {
+    pub fn get(&self, number: TaskId) -> Option<&Task> {
+        self.table.get(*self.numbers.get(&number)?)
+    }
+
+    pub fn get_mut(&mut self, number: TaskId) -> Option<&mut Task> {
+        self.table.get_mut(*self.numbers.get(&number)?)
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    fn insert(&mut self, task: Task) {
+        self.bytes += task.statement.len();
+        self.numbers.insert(self.next, self.table.insert(task));
+        self.next = self.next.wrapping_add(1);
+    }
+
+    fn take(&mut self, number: TaskId) -> Option<Task> {
+        let task = self.numbers.remove(&number).and_then(|slot| self.table.take(slot))?;
+        self.bytes -= task.statement.len();
+        Some(task)
+    }
+}
+
 /// What the decisions act on.
 pub struct Floor {
     pub premises: Premises,
     pub works: Works,
     pub clients: Clients,
     pub engines: Engines,
-    pub tasks: Slots<Task>,
-    pub numbers: BTreeMap<TaskId, Slot>,
-    pub next: TaskId,
-    /// Of the statements of all open tasks.
-    pub held_bytes: usize,
+    pub tasks: Tasks,
     pub serving: bool,
 }
 
 impl Outlet for Floor {
     fn send(&mut self, task: TaskId, engine: EngineId, until: Duration) {
-        let Some(row) = self.numbers.get(&task).and_then(|slot| self.tasks.get_mut(*slot)) else {
+        let Some(row) = self.tasks.get_mut(task) else {
             return self.works.counters.must(false, "a_hop_of_an_answered_task");
         };
         let call = Call {
@@ -74,7 +108,7 @@
         row.hops.push(hop);
     }
     fn terms(&mut self, task: TaskId, grant_mb: f64, priority: u8) {
-        let Some(task) = self.numbers.get(&task).and_then(|slot| self.tasks.get_mut(*slot)) else { return };
+        let Some(task) = self.tasks.get_mut(task) else { return };
         if task.priority != priority {
             for hop in &task.hops {
                 self.engines.rank(*hop, priority, &mut self.works);
@@ -83,7 +117,7 @@
         (task.grant_mb, task.priority) = (grant_mb, priority);
     }
     fn cancel(&mut self, task: TaskId, hop: usize) {
-        if let Some(hop) = self.task(task).and_then(|task| task.hops.get(hop)).copied() {
+        if let Some(hop) = self.tasks.get(task).and_then(|task| task.hops.get(hop)).copied() {
             self.engines.cancel(hop, &mut self.works);
         }
     }
@@ -106,31 +140,18 @@
 }
 
 impl Floor {
-    /// Notes a connection that later hops of a task are to avoid.
-    pub fn avoid(&mut self, number: TaskId, link: Slot) {
-        if let Some(task) = self.numbers.get(&number).and_then(|slot| self.tasks.get_mut(*slot)) {
-            task.owing.push(link);
-        }
-    }
-
-    pub fn task(&self, number: TaskId) -> Option<&Task> {
-        self.tasks.get(*self.numbers.get(&number)?)
-    }
-
     /// Takes a task in under the next number; tells whether the limits allow it.
     pub fn open(&mut self, task: Task) -> bool {
-        let bytes = self.held_bytes + task.statement.len();
-        if self.tasks.len() >= self.premises.most_open || bytes > self.premises.most_held_bytes() {
+        let bytes = self.tasks.bytes + task.statement.len();
+        if self.tasks.table.len() >= self.premises.most_open || bytes > self.premises.most_held_bytes() {
             self.works.counters.count("tasks_over_the_limit");
             return false;
         }
         self.works.counters.count("tasks_taken");
-        self.held_bytes = bytes;
         if let Some(client) = self.clients.table.get_mut(task.client) {
-            client.open.insert(task.id, self.next);
+            client.open.insert(task.id, self.tasks.next);
         }
-        self.numbers.insert(self.next, self.tasks.insert(task));
-        self.next = self.next.wrapping_add(1);
+        self.tasks.insert(task);
         true
     }
 
@@ -146,10 +167,9 @@
 
     /// Ends a task for the network; what is still out for it is given up, since nobody waits for it.
     pub fn close(&mut self, number: TaskId, how: &'static str) -> Option<Task> {
-        let task = self.numbers.remove(&number).and_then(|slot| self.tasks.take(slot))?;
+        let task = self.tasks.take(number)?;
         self.works.counters.count(how);
         log::debug!("task {number}: {how}");
-        self.held_bytes -= task.statement.len();
         self.clients.answered(task.client, task.id);
         for hop in &task.hops {
             self.engines.cancel(*hop, &mut self.works);
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -1,16 +1,16 @@
 //! The loop that owns the decisions: what comes in is told to them, turn by turn.
 
-use crate::bulletin::{Bulletin, Row};
+use crate::bulletin::{self, Bulletin, Row};
 use crate::clients::{Clients, Heard, MOST_OPEN};
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::deadlines::{Deadlines, Due};
 use crate::engines::{Engines, News};
-use crate::floor::{Floor, Task};
+use crate::floor::{Floor, Task, Tasks};
 use crate::jsonrpc::{self, Objection};
 use crate::premises::Briefing;
 use crate::ring::Filled;
-use crate::slots::{Slot, Slots};
+use crate::slots::Slot;
 use crate::statement;
 use crate::works::{Works, has_come_up};
 use calloop::generic::Generic;
@@ -19,7 +19,6 @@
 use emberflow::{Arrival, Ended, KeyId, Router, TaskId};
 use emberflow_startup::{Fields, from_ms};
 use serde_json::Value;
-use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::TcpListener;
@@ -97,12 +96,14 @@
                     most_owed: premises.most_held_bytes(),
                     ..Clients::default()
                 },
-                engines: Engines::new(&premises),
+                engines: Engines::new(
+                    premises.streams,
+                    premises.comes_up,
+                    premises.idle_close,
+                    premises.most_links(),
+                ),
                 works: Works { clock, deadlines, counters, ear },
-                tasks: Slots::default(),
-                numbers: BTreeMap::new(),
-                next: 0,
-                held_bytes: 0,
+                tasks: Tasks::default(),
                 serving: false,
                 premises,
             },
@@ -164,7 +165,9 @@
                     self.router.notice(now, task, hop, notice, &mut self.floor);
                 }
                 News::Ended(ended, body, owing) => {
-                    owing.inspect(|link| self.floor.avoid(ended.task, *link));
+                    if let Some((link, task)) = owing.zip(self.floor.tasks.get_mut(ended.task)) {
+                        task.owing.push(link);
+                    }
                     self.ended(now, ended, body);
                 }
             }
@@ -176,7 +179,7 @@
             // Not owed where the client has withdrawn in between.
             self.floor.answer(ended.task, "tasks_succeeded", |id| jsonrpc::result(id, &body));
         }
-        ended.over = !self.floor.numbers.contains_key(&ended.task);
+        ended.over = self.floor.tasks.get(ended.task).is_none();
         self.router.hop_ended(now, ended, &mut self.floor);
     }
 
@@ -271,7 +274,11 @@
     fn object(&mut self, slot: Slot, id: Option<u64>, code: i64, message: &str) {
         self.floor.works.counters.count("client_input_refused");
         log::debug!("refused from a client: {message}");
-        if self.floor.clients.say(slot, &jsonrpc::error(id, code, message, None)).is_err() {
+        self.reply(slot, &jsonrpc::error(id, code, message, None));
+    }
+
+    fn reply(&mut self, slot: Slot, line: &[u8]) {
+        if self.floor.clients.say(slot, line).is_err() {
             self.client_gone(slot);
         }
     }
@@ -291,9 +298,7 @@
     fn status(&mut self, slot: Slot, id: Option<u64>) -> Result<(), Objection> {
         let id = id.ok_or_else(|| (id, jsonrpc::INVALID, "`status` without an id".to_owned()))?;
         let serving = self.floor.serving && self.leaving.is_none();
-        if self.floor.clients.say(slot, &jsonrpc::status(id, serving)).is_err() {
-            self.client_gone(slot);
-        }
+        self.reply(slot, &jsonrpc::status(id, serving));
         Ok(())
     }
 
@@ -302,7 +307,7 @@
         let (req, id) = (fields.text("req").unwrap_or_default(), fields.whole("id").ok().or(id));
         let Some(client) = self.floor.clients.table.get(slot) else { return };
         let named = |number: &TaskId| {
-            self.floor.task(*number).is_some_and(|task| task.req == req || Some(task.id) == id)
+            self.floor.tasks.get(*number).is_some_and(|task| task.req == req || Some(task.id) == id)
         };
         if let Some(task) = client.open.values().copied().find(named) {
             self.withdraw(self.floor.works.now(), task);
@@ -349,7 +354,7 @@
         };
         let floor = &mut self.floor;
         let arrival = Arrival {
-            task: floor.next,
+            task: floor.tasks.next,
             traffic: class,
             key: subject.map(key),
             cost,
@@ -408,13 +413,20 @@
 
     fn dial_bulletin(&mut self) {
         self.bulletin = self.bulletin.anew();
-        let works = &mut self.floor.works;
-        self.bulletin.due = works.now() + SILENCE;
-        match works.dial(self.floor.premises.bulletin, |front| front.bulletin_ready()) {
-            Ok(wire) => self.bulletin.wire = Some(wire),
-            Err(_) => self.bulletin.due = works.now() + AGAIN,
+        self.floor.works.counters.count("bulletin_dialled");
+        match self.floor.works.dial(self.floor.premises.bulletin, |front| front.bulletin_ready()) {
+            Ok(wire) => {
+                self.bulletin.wire = Some(wire);
+                self.expect_bulletin(SILENCE);
+            }
+            Err(_) => self.expect_bulletin(AGAIN),
         }
-        works.counters.count("bulletin_dialled");
+    }
+
+    /// The bulletin is dialled anew unless this is put off in time.
+    fn expect_bulletin(&mut self, wait: Duration) {
+        let works = &mut self.floor.works;
+        self.bulletin.due = works.now() + wait;
         works.deadlines.set(self.bulletin.due, Due::Bulletin);
     }
 
@@ -423,11 +435,9 @@
             if self.bulletin.greeted {
                 log::info!("bulletin: {why}");
             }
-            let works = &mut self.floor.works;
-            works.counters.count("bulletin_lost");
+            self.floor.works.counters.count("bulletin_lost");
             self.bulletin.wire = None;
-            self.bulletin.due = works.now() + AGAIN;
-            works.deadlines.set(self.bulletin.due, Due::Bulletin);
+            self.expect_bulletin(AGAIN);
         }
     }
 
@@ -443,11 +453,13 @@
                 io::Write::write_all(&mut &*socket, &last).map_err(|e| e.to_string())?;
                 self.bulletin.greeted = true;
             }
-            let filled = self.bulletin.input.fill(&mut &*socket, 1 << 21).map_err(|e| e.to_string())?;
+            let filled = self
+                .bulletin
+                .input
+                .fill(&mut &*socket, 2 * bulletin::MOST_BYTES)
+                .map_err(|e| e.to_string())?;
             while let Some((number, rows)) = self.bulletin.take()? {
-                let works = &mut self.floor.works;
-                self.bulletin.due = works.now() + SILENCE;
-                works.deadlines.set(self.bulletin.due, Due::Bulletin);
+                self.expect_bulletin(SILENCE);
                 if let Some((whole, rows)) = rows {
                     log::info!("bulletin: event {number} with {} engines", rows.len());
                     self.listed(whole, &rows);
--- a/crates/router/src/premises.rs
+++ b/crates/router/src/premises.rs
@@ -2,7 +2,7 @@
 
 use crate::bulletin::{Event, known};
 use emberflow::{Duties, Fleet, TrafficType};
-use emberflow_startup::{Fault, Fields, duties, fleet, to_ms, traffic};
+use emberflow_startup::{Fault, Fields, duties, fleet, traffic};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -104,8 +104,3 @@
     let text = |v: &Value| v.as_str().map(str::to_owned).ok_or_else(|| format!("`{list}` holds no names"));
     settings.rows(list)?.iter().map(text).collect()
 }
-
-/// Whole milliseconds, for a line that has only those.
-pub fn whole_ms(time: Duration) -> u64 {
-    to_ms(time).floor() as u64
-}
