Read the configuration anew at SIGHUP and pass over events told twice

Checked: the signals told to the loop in front.rs were SIGTERM, SIGINT and SIGUSR1, so SIGHUP kept its default action; nothing else ended there. At fault: front.rs where the signals are named, and Front::run, which kept no way to read the file again. Now SIGHUP reads the file again, its bulletin is asked after the last number held, and all else stays; a file without sense is logged and changes nothing. A repeated event is passed over and counted.

--- a/crates/router/src/bulletin.rs
+++ b/crates/router/src/bulletin.rs
@@ -1,5 +1,6 @@
 //! The bulletin: the list of engines, from the configuration and as frames over a connection.
 
+use crate::counters::Counters;
 use crate::premises::Premises;
 use crate::ring::Ring;
 use crate::works::Wire;
@@ -61,8 +62,9 @@
         Self { wire: None, input: Ring::default(), greeted: false, ..*self }
     }
 
-    /// The next whole frame, checked against the last number and the settings.
-    pub fn take(&mut self) -> Result<Option<Frame>, String> {
+    /// The next whole frame, checked against the last number and the settings. An event that was told before
+    /// is nothing new.
+    pub fn take(&mut self, counters: &mut Counters) -> Result<Option<Frame>, String> {
         let Some((frame, length)) = parse(self.input.readable())? else { return Ok(None) };
         self.input.consume(length);
         let mut rows = frame.1.iter().flat_map(|(_, rows)| rows);
@@ -71,13 +73,14 @@
         }
         match &frame {
             (number, None) if *number > self.last => Err(format!("event {number} without those before it")),
-            (number, None) if *number < self.last => Err(format!("event {number} after {}", self.last)),
+            (number, Some(_)) if *number <= self.last => {
+                counters.count("bulletin_events_repeated");
+                Ok(Some((*number, None)))
+            }
+            (number, None) if *number < self.last => Ok(Some(frame)),
             (number, Some((false, _))) if *number != self.last + 1 => {
                 Err(format!("changes {number} after {}", self.last))
             }
-            (number, Some((true, _))) if *number <= self.last => {
-                Err(format!("list {number} after {}", self.last))
-            }
             _ => {
                 self.last = frame.0;
                 Ok(Some(frame))
--- a/crates/router/src/command.rs
+++ b/crates/router/src/command.rs
@@ -72,7 +72,7 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let path = config.or_else(|| std::env::var_os("EDGE_CONFIG")).ok_or("EDGE_CONFIG is not set")?;
     let listen = std::env::var("EDGE_LISTEN").ok();
-    Front::run(briefing(&path, listen.as_deref())?)
+    Front::run(move || briefing(&path, listen.as_deref()))
 }
 
 fn check(path: &OsStr) -> Result<(), String> {
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -56,17 +56,19 @@
     door: RegistrationToken,
     /// The longest patience of any traffic type.
     longest: Duration,
+    /// Reads the configuration.
+    read: Box<dyn Fn() -> Result<Briefing, String>>,
 }
 
 impl Front {
-    /// Serves until a planned restart ends it.
-    pub fn run(briefing: Briefing) -> Result<(), String> {
-        let Briefing { premises, fleet, traffic, duties, last, events } = briefing;
+    /// Serves until a planned restart ends it. The configuration is read at the start and at each SIGHUP.
+    pub fn run(read: impl Fn() -> Result<Briefing, String> + 'static) -> Result<(), String> {
+        let Briefing { premises, fleet, traffic, duties, last, events } = read()?;
         let longest = traffic.iter().map(|traffic| traffic.patience).max().unwrap_or_default();
         let fault = |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}");
         let mut event_loop = EventLoop::try_new().map_err(|e| fault("the loop", &e))?;
         let ear = event_loop.handle();
-        let stops = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])
+        let stops = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
             .map_err(|e| fault("signals", &e))?;
         let heard =
             |event: calloop::signals::Event, _: &mut (), front: &mut Self| front.signal(event.signal());
@@ -90,6 +92,7 @@
             left: false,
             door,
             longest,
+            read: Box::new(read),
             floor: Floor {
                 clients: Clients {
                     most_bytes: premises.most_bytes(),
@@ -458,7 +461,7 @@
                 .input
                 .fill(&mut &*socket, 2 * bulletin::MOST_BYTES)
                 .map_err(|e| e.to_string())?;
-            while let Some((number, rows)) = self.bulletin.take()? {
+            while let Some((number, rows)) = self.bulletin.take(&mut self.floor.works.counters)? {
                 self.expect_bulletin(SILENCE);
                 if let Some((whole, rows)) = rows {
                     log::info!("bulletin: event {number} with {} engines", rows.len());
@@ -473,11 +476,31 @@
         }
     }
 
+    /// The configuration anew: the bulletin's address takes effect, all else takes a restart. Open tasks,
+    /// connections and what was learned stay. Guards against files that are written wrong under load: they
+    /// change nothing.
+    fn reload(&mut self) {
+        match (self.read)() {
+            Ok(Briefing { premises, .. }) => {
+                log::info!("configuration read anew, bulletin at {}", premises.bulletin);
+                self.floor.works.counters.count("reloads");
+                self.floor.premises.bulletin = premises.bulletin;
+                self.dial_bulletin();
+            }
+            Err(error) => {
+                log::error!("configuration not read anew, the old one stays: {error}");
+                self.floor.works.counters.count("reloads_refused");
+            }
+        }
+    }
+
     // ---- the end ----
 
     fn signal(&mut self, signal: Signal) {
         log::info!("counters: {}", self.floor.works.counters);
-        if signal != Signal::SIGUSR1 && self.leaving.is_none() {
+        if signal == Signal::SIGHUP {
+            self.reload();
+        } else if signal != Signal::SIGUSR1 && self.leaving.is_none() {
             let works = &mut self.floor.works;
             let now = works.now();
             let by = now + self.longest.min(LONGEST_COUNTED) + STRAGGLERS - ON_THE_WAY;
