Let go of engines, silent clients and deadlines that are over; refuse figures that can't be true

Checked by reading and by a test that lists 3,000 engines and takes 2,000 clients: at fault were Engines::book and numbers and the module's engines (each with up to 1,024 samples), which had no end; clients had no deadline at all, so one that said nothing held its descriptor for good; and the test found 3,005 deadlines left by expect_bulletin(), one for each event. Now the module tells its outlet to forget an engine that is gone once no open task has a hop there; a client that says nothing or stops within a line is closed after 2 s, an idle one after 5 s; where room runs out the silent go first; finished and swollen clients are found without a walk over all of them at each turn. At the door: figures below 0 or beyond 1e9, data that is no text, a resent that is not 0 or 1 and a req that is open are refused. The new tests were seen to fail on the old code.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -11,6 +11,11 @@
 
 /// Open tasks that a connection carries.
 pub const MOST_OPEN: usize = 32;
+/// A line that has begun, and the first one, must have come whole within this; a client that has said something
+/// and waits for nothing is kept for longer. Clients close what is idle after 4 s, and are owed a close, an
+/// error or an answer within 3 s of connecting.
+const STALLED: Duration = Duration::from_secs(2);
+const IDLE: Duration = Duration::from_secs(5);
 
 pub struct Client {
     pub wire: Wire,
@@ -20,14 +25,24 @@
     scanned: usize,
     /// By the id on this connection.
     pub open: BTreeMap<u64, TaskId>,
-    /// When it last had something to say or was answered.
+    /// It has said something.
+    heard: bool,
+    /// When it last had something to say or was answered, or began to.
     active: Duration,
+    /// When it is looked at next.
+    pub due: Duration,
     /// Nothing more is taken from it; it closes once all is answered.
     deaf: bool,
     /// Nothing more will come from it.
     shut: bool,
 }
 
+impl Client {
+    fn waits_for_nothing(&self) -> bool {
+        self.open.is_empty() && self.output.is_empty()
+    }
+}
+
 /// What a connection's turn at reading came to.
 pub enum Heard {
     Line(Vec<u8>),
@@ -42,36 +57,65 @@
 pub struct Clients {
     pub table: Slots<Client>,
     /// In one line, and unread among the answers to all.
-    pub most_bytes: usize,
-    pub most_owed: usize,
+    most_bytes: usize,
+    most_owed: usize,
+    /// Bytes that are unread among the answers to all.
+    owed: usize,
+    /// Those that may have nothing more to come or to be told.
+    pub ending: Vec<Slot>,
 }
 
 impl Clients {
-    pub fn admit(&mut self, wire: Wire, now: Duration) -> Slot {
+    pub fn within(most_bytes: usize, most_owed: usize) -> Self {
+        Self { most_bytes, most_owed, ..Self::default() }
+    }
+
+    /// Takes a connection in; tells when it is looked at.
+    pub fn admit(&mut self, wire: Wire, now: Duration) -> Duration {
         let (input, output, open) = (Ring::default(), Ring::default(), BTreeMap::new());
+        let due = now + STALLED;
         self.table.insert(Client {
             wire,
             input,
             output,
             scanned: 0,
             open,
+            heard: false,
             active: now,
+            due,
             deaf: false,
             shut: false,
-        })
+        });
+        due
+    }
+
+    pub fn take(&mut self, slot: Slot) -> Option<Client> {
+        let client = self.table.take(slot)?;
+        self.owed -= client.output.len();
+        Some(client)
     }
 
-    /// Of those that wait for nothing, the one that has for longest.
+    /// Of those that wait for nothing, the one that has for longest; first those that never said anything.
     pub fn idlest(&self) -> Option<Slot> {
-        let idle = self.table.iter().filter(|(_, c)| c.open.is_empty() && c.output.is_empty());
-        idle.min_by_key(|(_, client)| client.active).map(|(slot, _)| slot)
+        let idle = self.table.iter().filter(|(_, client)| client.waits_for_nothing());
+        idle.min_by_key(|(_, client)| (client.heard, client.active)).map(|(slot, _)| slot)
     }
 
     /// Where more is unread among the answers than the memory bears: the client that reads least of them.
     pub fn swollen(&self) -> Option<Slot> {
-        let owed: usize = self.table.iter().map(|(_, client)| client.output.len()).sum();
-        let most = self.table.iter().max_by_key(|(_, client)| client.output.len());
-        most.filter(|_| owed > self.most_owed).map(|(slot, _)| slot)
+        let most = || self.table.iter().max_by_key(|(_, client)| client.output.len());
+        (self.owed > self.most_owed).then(most).flatten().map(|(slot, _)| slot)
+    }
+
+    /// Guards against clients that connect and say nothing, stop within a line, or hold what they do not use:
+    /// whether one is to be closed, and whether it began to say something; else when to look again.
+    pub fn overdue(&mut self, slot: Slot, now: Duration) -> Result<bool, Duration> {
+        let Some(client) = self.table.get_mut(slot) else { return Ok(false) };
+        let begun = !client.input.is_empty();
+        let kept = if begun || !client.heard { STALLED } else { IDLE };
+        let due = if client.waits_for_nothing() { client.active + kept } else { now + STALLED };
+        client.due = due;
+        if due <= now { Ok(begun) } else { Err(due) }
     }
 
     /// The next line. A client that does not read its answers is not read from either.
@@ -94,12 +138,13 @@
                     Ok(Filled::Closed) => client.shut = true,
                     Err(_) => return Heard::Closed,
                 }
+                self.ending.push(slot);
                 continue;
             }
             if let Some((line, length)) = jsonrpc::line(client.input.readable(), client.scanned) {
                 let line = line.to_vec();
                 client.input.consume(length);
-                (client.scanned, client.active) = (0, now);
+                (client.scanned, client.active, client.heard) = (0, now, true);
                 return Heard::Line(line);
             }
             client.scanned = client.input.len();
@@ -110,9 +155,16 @@
             let before = client.input.len();
             match client.input.fill(&mut &*client.wire.socket, most) {
                 Err(_) => return Heard::Closed,
-                Ok(_) if client.input.len() > before => {}
+                Ok(_) if client.input.len() > before => {
+                    if before == 0 && client.heard {
+                        client.active = now;
+                    }
+                }
                 // It may have shut one direction only: what is open is still owed.
-                Ok(Filled::Closed) => client.shut = true,
+                Ok(Filled::Closed) => {
+                    client.shut = true;
+                    self.ending.push(slot);
+                }
                 Ok(_) => return Heard::Nothing,
             }
         }
@@ -120,24 +172,33 @@
 
     pub fn say(&mut self, slot: Slot, line: &[u8]) -> io::Result<()> {
         let Some(client) = self.table.get_mut(slot) else { return Ok(()) };
+        self.owed -= client.output.len();
         client.output.push(line);
-        client.output.drain(&mut &*client.wire.socket)
+        let drained = client.output.drain(&mut &*client.wire.socket);
+        self.owed += client.output.len();
+        if client.deaf || client.shut {
+            self.ending.push(slot);
+        }
+        drained
     }
 
     pub fn flush(&mut self, slot: Slot) -> io::Result<()> {
         self.say(slot, b"")
     }
 
-    pub fn answered(&mut self, slot: Slot, id: u64) {
+    pub fn answered(&mut self, slot: Slot, id: u64, now: Duration) {
         if let Some(client) = self.table.get_mut(slot) {
             client.open.remove(&id);
+            client.active = now;
+            if client.deaf || client.shut {
+                self.ending.push(slot);
+            }
         }
     }
 
-    /// One that can't be read on and is owed nothing more.
-    pub fn finished(&self) -> Option<Slot> {
-        let done = |c: &Client| (c.deaf || c.shut) && c.open.is_empty() && c.output.is_empty();
-        self.table.iter().find(|(_, client)| done(client)).map(|(slot, _)| slot)
+    /// Whether one can't be read on and is owed nothing more.
+    pub fn finished(&self, slot: Slot) -> bool {
+        self.table.get(slot).is_some_and(|c| (c.deaf || c.shut) && c.waits_for_nothing())
     }
 
     /// Whether all that was said has left.
--- a/crates/router/src/deadlines.rs
+++ b/crates/router/src/deadlines.rs
@@ -18,6 +18,8 @@
     Idle(Slot),
     /// The bulletin must have sent something, or is dialled again.
     Bulletin,
+    /// A client must have said something, or be in use.
+    Client(Slot),
     /// New connections are accepted again.
     Admit,
     /// A planned restart may end.
@@ -38,6 +40,10 @@
         self.ordered.remove(&(at, due));
     }
 
+    pub fn len(&self) -> usize {
+        self.ordered.len()
+    }
+
     pub fn first(&self) -> Option<Duration> {
         self.ordered.first().map(|(at, _)| *at)
     }
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -23,6 +23,7 @@
 const RETIRED: f64 = 0.8;
 
 struct Engine {
+    id: u32,
     address: SocketAddr,
     ready: bool,
     launched: Option<Duration>,
@@ -97,8 +98,10 @@
 }
 
 pub struct Engines {
-    book: Vec<Engine>,
+    book: BTreeMap<EngineId, Engine>,
     numbers: BTreeMap<u32, EngineId>,
+    /// The number of the next.
+    next: EngineId,
     links: Slots<Link>,
     hops: Slots<Hop>,
     pub news: VecDeque<News>,
@@ -114,8 +117,9 @@
     /// Of a connection: what it carries, how soon it must come up, when an engine closes an idle one.
     pub fn new(streams: usize, comes_up: Duration, idle_close: Duration, most_links: usize) -> Self {
         Self {
-            book: Vec::new(),
+            book: BTreeMap::new(),
             numbers: BTreeMap::new(),
+            next: 0,
             links: Slots::default(),
             hops: Slots::default(),
             news: VecDeque::new(),
@@ -130,15 +134,16 @@
     /// Takes one line of the list in. A process that ended takes its connections with it, told or not.
     pub fn listed(&mut self, row: &Row, works: &mut Works) -> Listing {
         let launched = (row.up_since_ms > 0).then(|| works.clock.at_unix_ms(row.up_since_ms));
-        let next = self.book.len();
-        let engine = *self.numbers.entry(row.id).or_insert(next);
-        if engine == next {
-            self.book.push(Engine { address: row.address, ready: row.ready, launched, links: Vec::new() });
+        let engine = *self.numbers.entry(row.id).or_insert(self.next);
+        if engine == self.next {
+            let (id, address, ready) = (row.id, row.address, row.ready);
+            self.book.insert(engine, Engine { id, address, ready, launched, links: Vec::new() });
+            self.next += 1;
         }
         if !row.ready {
             self.hold_back(engine, works);
         }
-        let known = &mut self.book[engine];
+        let Some(known) = self.book.get_mut(&engine) else { unreachable!("a numbered engine") };
         (known.address, known.ready) = (row.address, row.ready);
         if known.launched != launched
             && let Some(at) = launched
@@ -150,12 +155,35 @@
                 self.lose(slot, "its engine has started anew", false, works);
             }
         }
-        Listing { engine, location: row.location, kind: row.kind, cell: row.cell, ready: row.ready, launched }
+        Listing {
+            engine,
+            location: row.location,
+            kind: row.kind,
+            cell: row.cell,
+            ready: row.ready,
+            gone: row.gone,
+            launched,
+        }
+    }
+
+    /// An engine's number, connections and history end.
+    pub fn forget(&mut self, engine: EngineId, works: &mut Works) {
+        for slot in self.links_of(engine) {
+            self.lose(slot, "its engine is gone", false, works);
+        }
+        if let Some(known) = self.book.remove(&engine) {
+            works.counters.count("engines_forgotten");
+            self.numbers.remove(&known.id);
+        }
+    }
+
+    fn links_of(&self, engine: EngineId) -> Vec<Slot> {
+        self.book.get(&engine).map_or_else(Vec::new, |known| known.links.clone())
     }
 
     /// What waits for a connection to an engine that is not to be sent to any more is never written.
     fn hold_back(&mut self, engine: EngineId, works: &mut Works) {
-        let links = self.book[engine].links.clone();
+        let links = self.links_of(engine);
         let waiting = links.iter().filter_map(|slot| Some(self.links.get(*slot)?.waiting.clone()));
         for hop in waiting.flatten().collect::<Vec<_>>() {
             self.end(hop, HopEnd::Void, None, works);
@@ -199,7 +227,7 @@
         let Some(hop) = self.hops.get_mut(slot) else { return };
         hop.written = None;
         let (engine, id, owing) = (hop.engine, hop.id.clone(), hop.owing.clone());
-        if !self.book[engine].ready {
+        if !self.book.get(&engine).is_some_and(|known| known.ready) {
             return self.end(slot, HopEnd::Void, None, works);
         }
         match self.link_for(engine, &id, &owing, works) {
@@ -212,7 +240,7 @@
     /// part of them goes, else the one that carries least. Guards against spoilt answers and resets, which
     /// take all that a connection carries with them.
     fn link_for(&mut self, engine: EngineId, id: &str, owing: &[Slot], works: &mut Works) -> Option<Slot> {
-        let links = &self.book[engine].links;
+        let Engine { links, address, .. } = self.book.get(&engine)?;
         let rows = links.iter().filter_map(|slot| Some((*slot, self.links.get(*slot)?)));
         let open = rows.filter(|(slot, link)| {
             let apart = !owing.contains(slot) && !link.hops.contains_key(id);
@@ -231,7 +259,7 @@
             return None;
         }
         let slot = self.links.next();
-        let wire = works.dial(self.book[engine].address, move |front| front.link_ready(slot));
+        let wire = works.dial(*address, move |front| front.link_ready(slot));
         let wire = wire.inspect_err(|e| {
             works.counters.count("links_refused");
             log::info!("engine {engine}: no connection: {e}");
@@ -257,7 +285,7 @@
             whole_by: None,
             idle: None,
         });
-        self.book[engine].links.push(slot);
+        self.book.entry(engine).and_modify(|known| known.links.push(slot));
         Some(slot)
     }
 
@@ -629,7 +657,7 @@
     fn lose(&mut self, slot: Slot, why: &str, there: bool, works: &mut Works) {
         let Some(link) = self.links.take(slot) else { return };
         log::debug!("engine {}: connection over with {} hops: {why}", link.engine, link.hops.len());
-        self.book[link.engine].links.retain(|other| *other != slot);
+        self.book.entry(link.engine).and_modify(|known| known.links.retain(|other| *other != slot));
         link.due.inspect(|at| works.deadlines.clear(*at, Due::Link(slot)));
         link.whole_by.inspect(|at| works.deadlines.clear(*at, Due::Whole(slot)));
         link.idle.inspect(|at| works.deadlines.clear(*at, Due::Idle(slot)));
@@ -649,6 +677,11 @@
         }
     }
 
+    /// How many engines, connections and hops are known.
+    pub fn held(&self) -> (usize, usize, usize) {
+        (self.book.len(), self.links.len(), self.hops.len())
+    }
+
     pub fn all_written(&self) -> bool {
         self.links.iter().all(|(_, link)| link.output.is_empty())
     }
@@ -693,7 +726,8 @@
         };
         let long = Duration::from_secs(20);
         let mut engines = Engines::new(1, long, long, 1);
-        let row = Row { id: 7, address, ready: true, location: 0, kind: 0, cell: 0, up_since_ms: 0 };
+        let row =
+            Row { id: 7, address, ready: true, gone: false, location: 0, kind: 0, cell: 0, up_since_ms: 0 };
         let engine = engines.listed(&row, &mut works).engine;
         let (id, class, until) = ("9b1f03aa5c7e2d41", "report", works.now() + Duration::from_secs(20));
         let call = Call {
--- a/crates/router/src/floor.rs
+++ b/crates/router/src/floor.rs
@@ -9,7 +9,7 @@
 use crate::slots::{Slot, Slots};
 use crate::works::Works;
 use emberflow::{EngineId, Outlet, TaskId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A task until it has been answered.
@@ -46,6 +46,7 @@
 pub struct Tasks {
     table: Slots<Task>,
     numbers: BTreeMap<TaskId, Slot>,
+    reqs: BTreeSet<String>,
     /// The number of the next.
     pub next: TaskId,
     /// Of all their statements.
@@ -65,7 +66,13 @@
         self.table.is_empty()
     }
 
+    /// Whether a task of this name is open.
+    pub fn holds(&self, req: &str) -> bool {
+        self.reqs.contains(req)
+    }
+
     fn insert(&mut self, task: Task) {
+        self.reqs.insert(task.req.clone());
         self.bytes += task.statement.len();
         self.numbers.insert(self.next, self.table.insert(task));
         self.next = self.next.wrapping_add(1);
@@ -74,6 +81,7 @@
     fn take(&mut self, number: TaskId) -> Option<Task> {
         let task = self.numbers.remove(&number).and_then(|slot| self.table.take(slot))?;
         self.bytes -= task.statement.len();
+        self.reqs.remove(&task.req);
         Some(task)
     }
 }
@@ -137,6 +145,9 @@
     }
     /// The bulletin tells its changes unasked.
     fn watch(&mut self) {}
+    fn forget(&mut self, engine: EngineId) {
+        self.engines.forget(engine, &mut self.works);
+    }
 }
 
 impl Floor {
@@ -155,6 +166,19 @@
         true
     }
 
+    /// All counters, and how much is held of what comes and goes.
+    pub fn tally(&self) -> String {
+        let (engines, links, hops) = self.engines.held();
+        format!(
+            "{} held_clients={} held_tasks={} held_engines={engines} held_links={links} held_hops={hops} \
+             held_deadlines={}",
+            self.works.counters,
+            self.clients.table.len(),
+            self.tasks.table.len(),
+            self.works.deadlines.len()
+        )
+    }
+
     /// The one final answer of a task; tells whether it was still owed.
     pub fn answer(&mut self, number: TaskId, how: &'static str, line: impl Fn(u64) -> Vec<u8>) -> bool {
         let Some(task) = self.close(number, how) else { return false };
@@ -170,7 +194,7 @@
         let task = self.tasks.take(number)?;
         self.works.counters.count(how);
         log::debug!("task {number}: {how}");
-        self.clients.answered(task.client, task.id);
+        self.clients.answered(task.client, task.id, self.works.now());
         for hop in &task.hops {
             self.engines.cancel(*hop, &mut self.works);
         }
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -18,7 +18,6 @@
 use calloop::{EventLoop, Interest, Mode, PostAction, RegistrationToken};
 use emberflow::{Arrival, Ended, KeyId, Router, TaskId};
 use emberflow_startup::{Fields, from_ms};
-use serde_json::Value;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::TcpListener;
@@ -27,6 +26,8 @@
 
 /// Lines taken from one client in one turn of the loop.
 const LINES: usize = 64;
+/// The largest figure that a client is believed.
+const MOST_FIGURE: f64 = 1e9;
 /// The longest that a client's wait is believed to be.
 const LONGEST: Duration = Duration::from_secs(3600);
 /// The bulletin sends something each second; it is dialled again after so much silence, or so long after a
@@ -94,11 +95,7 @@
             longest,
             read: Box::new(read),
             floor: Floor {
-                clients: Clients {
-                    most_bytes: premises.most_bytes(),
-                    most_owed: premises.most_held_bytes(),
-                    ..Clients::default()
-                },
+                clients: Clients::within(premises.most_bytes(), premises.most_held_bytes()),
                 engines: Engines::new(
                     premises.streams,
                     premises.comes_up,
@@ -123,7 +120,7 @@
             event_loop.dispatch(wait, &mut front).map_err(|e| fault("the loop", &e))?;
             front.turn();
         }
-        log::info!("counters at exit: {}", front.floor.works.counters);
+        log::info!("counters at exit: {}", front.floor.tally());
         Ok(())
     }
 
@@ -146,13 +143,16 @@
                 Due::Idle(slot) => engines.link_idle(slot, works),
                 Due::Bulletin if now >= self.bulletin.due => self.dial_bulletin(),
                 Due::Bulletin => {}
+                Due::Client(slot) => self.client_overdue(slot, now),
                 Due::Admit => self.open_the_door(),
                 Due::Leave => self.leave(),
             }
             self.tell();
         }
-        while let Some(slot) = self.floor.clients.finished() {
-            self.client_gone(slot);
+        for slot in std::mem::take(&mut self.floor.clients.ending) {
+            if self.floor.clients.finished(slot) {
+                self.client_gone(slot);
+            }
         }
         while let Some(slot) = self.floor.clients.swollen() {
             self.floor.works.counters.count("clients_too_slow");
@@ -206,7 +206,8 @@
                     let slot = floor.clients.table.next();
                     match floor.works.attend(socket, move |front| front.client_ready(slot)) {
                         Ok(wire) => {
-                            floor.clients.admit(wire, floor.works.now());
+                            let due = floor.clients.admit(wire, floor.works.now());
+                            floor.works.deadlines.set(due, Due::Client(slot));
                             floor.works.counters.count("clients_admitted");
                             self.unheard.push(slot);
                         }
@@ -335,14 +336,24 @@
         let wrong = |what: String| (id, jsonrpc::BAD_PARAMS, what);
         let maybe_text =
             |name: &str| fields.maybe(name).map(|_| fields.text(name)).transpose().map_err(wrong);
+        // A figure that can't be true is not learned from: none is below 0 or beyond years or petabytes.
         let positive = |name: &str| {
             let value = fields.maybe(name).map(|_| fields.number(name)).transpose().map_err(wrong)?;
-            Ok(value.filter(|v| *v > 0.0).map(|v| v.min(1e9)))
+            match value {
+                Some(value) if !(0.0..=MOST_FIGURE).contains(&value) => {
+                    Err(wrong(format!("`{name}` is out of range")))
+                }
+                value => Ok(value.filter(|v| *v > 0.0)),
+            }
         };
         let req = fields.text("req").map_err(wrong)?;
         if req.len() != 16 || !req.bytes().all(|b| b.is_ascii_hexdigit()) {
             return Err(wrong("`req` is not 16 hex digits".into()));
         }
+        // Engines tell tasks apart by it alone, whoever asks.
+        if self.floor.tasks.holds(req) {
+            return invalid(id, "`req` is open already");
+        }
         let opkey = maybe_text("opkey")?;
         if opkey.is_some_and(|key| key.bytes().any(|b| !b.is_ascii_alphanumeric())) {
             return Err(wrong("`opkey` holds more than letters and digits".into()));
@@ -352,9 +363,15 @@
         let (cost, memory_mb) = (positive("ms")?.map(from_ms).filter(|c| !c.is_zero()), positive("memory")?);
         let body = jsonrpc::body(fields.text("data").map_err(wrong)?);
         let statement = body.ok_or_else(|| wrong("`data` is not base64".into()))?;
-        let resent = match fields.maybe("resent") {
-            None | Some(Value::Bool(false)) => false,
-            Some(value) => value.as_u64() != Some(0),
+        let group = std::str::from_utf8(&statement).map(statement::group);
+        let group = group.map_err(|_| wrong("`data` is no text".into()))?;
+        let resent = match fields
+            .maybe("resent")
+            .map(|value| value.as_bool().map_or(value.as_u64(), |b| Some(b.into())))
+        {
+            None => false,
+            Some(Some(told @ (0 | 1))) => told == 1,
+            Some(_) => return Err(wrong("`resent` is not 0 or 1".into())),
         };
         let floor = &mut self.floor;
         let arrival = Arrival {
@@ -365,7 +382,7 @@
             memory_mb,
             patience: from_ms(patience).min(LONGEST),
             later_try: floor.premises.marks_retries.then_some(resent),
-            group: std::str::from_utf8(&statement).ok().and_then(statement::group),
+            group,
         };
         log::debug!(
             "task {} {req}: {method}, cost {cost:?}, memory {memory_mb:?} MB, group {:?}, patience {patience} ms, \
@@ -389,8 +406,22 @@
         }
     }
 
+    fn client_overdue(&mut self, slot: Slot, now: Duration) {
+        match self.floor.clients.overdue(slot, now) {
+            Ok(begun) => {
+                self.floor.works.counters.count(if begun { "clients_stalled" } else { "clients_idle" });
+                if begun {
+                    self.object(slot, None, jsonrpc::PARSE, "a line that stopped short");
+                }
+                self.client_gone(slot);
+            }
+            Err(due) => self.floor.works.deadlines.set(due, Due::Client(slot)),
+        }
+    }
+
     fn client_gone(&mut self, slot: Slot) {
-        let Some(client) = self.floor.clients.table.take(slot) else { return };
+        let Some(client) = self.floor.clients.take(slot) else { return };
+        self.floor.works.deadlines.clear(client.due, Due::Client(slot));
         let now = self.floor.works.now();
         for task in client.open.into_values() {
             self.withdraw(now, task);
@@ -430,6 +461,7 @@
     /// The bulletin is dialled anew unless this is put off in time.
     fn expect_bulletin(&mut self, wait: Duration) {
         let works = &mut self.floor.works;
+        works.deadlines.clear(self.bulletin.due, Due::Bulletin);
         self.bulletin.due = works.now() + wait;
         works.deadlines.set(self.bulletin.due, Due::Bulletin);
     }
@@ -498,7 +530,7 @@
     // ---- the end ----
 
     fn signal(&mut self, signal: Signal) {
-        log::info!("counters: {}", self.floor.works.counters);
+        log::info!("counters: {}", self.floor.tally());
         if signal == Signal::SIGHUP {
             self.reload();
         } else if signal != Signal::SIGUSR1 && self.leaving.is_none() {
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -621,15 +621,22 @@
         r#"{"jsonrpc":"2.0","id":6,"method":"lookup","params":{"req":"9b1f03aa5c7e2d41","timeout":-5,"data":""}}"#,
         r#"{"jsonrpc":"2.0","id":7,"method":"lookup","params":{"req":"9b1f03aa5c7e2d41","timeout":50,"data":"?"}}"#,
         r#"{"jsonrpc":"2.0","id":8,"method":"lookup","params":{"req":"9b1f03aa5c7e2d41","timeout":50,"ms":"x","data":""}}"#,
+        r#"{"jsonrpc":"2.0","id":9,"method":"lookup","params":{"req":"9b1f03aa5c7e2d41","timeout":50,"ms":-1,"data":""}}"#,
+        r#"{"jsonrpc":"2.0","id":10,"method":"lookup","params":{"req":"9b1f03aa5c7e2d41","timeout":50,"memory":1e300,"data":""}}"#,
+        r#"{"jsonrpc":"2.0","id":11,"method":"lookup","params":{"req":"9b1f03aa5c7e2d41","timeout":50,"resent":"no","data":""}}"#,
+        r#"{"jsonrpc":"2.0","id":12,"method":"lookup","params":{"req":"9b1f03aa5c7e2d41","timeout":50,"data":"//4="}}"#,
     ];
     for line in lines {
         client.say(line);
         house.note(client.hear());
     }
     for id in (1..=32).chain([1, 33]) {
-        client.ask(id, "lookup", 1e300 as u64);
+        client.ask(id, "lookup", 8000);
     }
     house.note(client.hear()).note(client.hear());
+    let mut twin = house.client();
+    twin.ask(2, "lookup", 8000);
+    house.note(twin.hear());
     let mut endless = house.client();
     let _ = endless.0.get_ref().write_all(&vec![b'x'; 1 << 20]);
     house.note(endless.hear());
@@ -643,14 +650,19 @@
         {"error":{"code":-32600,"message":"a task without an id"},"id":null,"jsonrpc":"2.0"}
         {"error":{"code":-32602,"message":"`req` is missing"},"id":4,"jsonrpc":"2.0"}
         {"error":{"code":-32602,"message":"`req` is not 16 hex digits"},"id":5,"jsonrpc":"2.0"}
-        {"error":{"code":-32602,"message":"`timeout` is not above 0"},"id":6,"jsonrpc":"2.0"}
+        {"error":{"code":-32602,"message":"`timeout` is out of range"},"id":6,"jsonrpc":"2.0"}
         {"error":{"code":-32602,"message":"`data` is not base64"},"id":7,"jsonrpc":"2.0"}
         {"error":{"code":-32602,"message":"`ms` is not a number"},"id":8,"jsonrpc":"2.0"}
+        {"error":{"code":-32602,"message":"`ms` is out of range"},"id":9,"jsonrpc":"2.0"}
+        {"error":{"code":-32602,"message":"`memory` is out of range"},"id":10,"jsonrpc":"2.0"}
+        {"error":{"code":-32602,"message":"`resent` is not 0 or 1"},"id":11,"jsonrpc":"2.0"}
+        {"error":{"code":-32602,"message":"`data` is no text"},"id":12,"jsonrpc":"2.0"}
         {"error":{"code":-32600,"message":"`id` is open already"},"id":null,"jsonrpc":"2.0"}
         {"error":{"code":-32600,"message":"too many open requests"},"id":33,"jsonrpc":"2.0"}
+        {"error":{"code":-32600,"message":"`req` is open already"},"id":2,"jsonrpc":"2.0"}
         {"error":{"code":-32700,"message":"a line without end"},"id":null,"jsonrpc":"2.0"}
         {"id":1,"jsonrpc":"2.0","result":{"serving":true}}
-        ended with Some(0): client_input_refused=12 tasks_taken=32
+        ended with Some(0): client_input_refused=17 tasks_taken=32
     "#]].assert_eq(&house.end(&["client_input_refused", "tasks_taken"]));
 }
 
@@ -923,23 +935,26 @@
 }
 
 #[test]
-fn a_full_house_closes_whoever_is_idle_for_longest() {
+fn a_full_house_closes_the_silent_first_then_whoever_is_idle_for_longest() {
     let mut house = House::open_within((64, 12), "crowd", 1, &settings(5000, 8000));
     let status = r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#;
     let mut clients = Vec::new();
-    for _ in 0..7 {
+    for speaks in [true, true, true, false, true, true, true, true] {
         let mut client = house.client();
-        client.say(status);
-        client.hear();
+        if speaks {
+            client.say(status);
+            client.hear();
+        }
         clients.push(client);
     }
-    house.note(clients[0].hear());
+    house.note(clients[3].hear()).note(clients[0].hear());
     clients[1].say(status);
     house.note(clients[1].hear());
     expect![[r#"
+        closed
         closed
         {"id":1,"jsonrpc":"2.0","result":{"serving":true}}
-        ended with Some(0): clients_admitted=7 clients_closed_for_room=1
+        ended with Some(0): clients_admitted=8 clients_closed_for_room=2
     "#]]
     .assert_eq(&house.end(&["clients_admitted", "clients_closed_for_room"]));
 }
@@ -1073,3 +1088,71 @@
     "#]]
     .assert_eq(&house.end(&["reloads", "reloads_refused", "bulletin_lost", "bulletin_events_repeated"]));
 }
+
+#[test]
+fn clients_that_say_nothing_or_stop_short_are_closed_in_time() {
+    let mut house = House::open("stalled", 1, &settings(5000, 8000));
+    let began = Instant::now();
+    let (mut silent, mut half, mut once, mut busy) =
+        (house.client(), house.client(), house.client(), house.client());
+    half.0.get_ref().write_all(b"{\"jsonrpc\"").expect("it reads");
+    once.say(r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#);
+    once.hear();
+    busy.ask(1, "lookup", 8000);
+    let mut engine = house.engine(0);
+    engine.call();
+    house.note(silent.hear()).note(half.hear()).note(half.hear());
+    let early = began.elapsed();
+    house.note(once.hear());
+    house.note(format!(
+        "within 3 s: {}, kept for more than 4 s: {}",
+        early.as_secs() < 3,
+        began.elapsed().as_secs() >= 4
+    ));
+    // One that waits for an answer is kept until it has it.
+    house.note(busy.hear());
+    expect![[r#"
+        closed
+        {"error":{"code":-32700,"message":"a line that stopped short"},"id":null,"jsonrpc":"2.0"}
+        closed
+        closed
+        within 3 s: true, kept for more than 4 s: true
+        {"error":{"code":-32011,"data":{"holdoff":400},"message":"bounced: a retry is harmless"},"id":1,"jsonrpc":"2.0"}
+        ended with Some(0): clients_idle=2 clients_stalled=1
+    "#]].assert_eq(&house.end(&["clients_idle", "clients_stalled"]));
+}
+
+#[test]
+fn nothing_is_held_of_engines_clients_and_tasks_that_have_gone() {
+    let mut house = House::open("churn", 1, &settings(5000, 8000));
+    let mut bulletin = house.bulletin();
+    let address = house.engines[0].local_addr().expect("an address");
+    let mut engine = house.engine(0);
+    for round in 0..10 {
+        let first = 2 + round * 300;
+        let frames = (first..first + 300).flat_map(|number| {
+            changes(number, &[(number as u32 - 2, address, 2, 0), (number as u32 - 1, address, 0, 0)])
+        });
+        bulletin.write_all(&frames.collect::<Vec<_>>()).expect("it reads");
+        house.logs(&format!("event {} ", first + 299));
+        for id in 1..=200 {
+            let mut client = house.client();
+            if id % 10 == 0 {
+                client.ask(id, "lookup", 8000);
+                engine.call();
+                engine.say(id, "HIT", "pages=1", "a\tb\tc\n");
+            } else {
+                client.say(r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#);
+            }
+            client.hear();
+        }
+    }
+    let counters = ["tasks_succeeded", "clients_admitted", "engines_forgotten"];
+    let held = ["held_clients", "held_tasks", "held_hops", "held_engines", "held_links", "held_deadlines"];
+    let told = house.end(&[&counters[..], &held].concat());
+    let (told, deadlines) = told.trim().rsplit_once("held_deadlines=").expect("the last");
+    let few = deadlines.parse::<u64>().is_ok_and(|count| count < 20);
+    expect![[r#"
+        bulletin after 1
+        ended with Some(0): clients_admitted=2000 engines_forgotten=3000 tasks_succeeded=200 held_clients=0 held_tasks=0 held_engines=1 held_links=1 held_hops=0 few deadlines: true"#]].assert_eq(&format!("{told}few deadlines: {few}"));
+}
--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -84,6 +84,8 @@
     fn watch(&mut self) {
         self.write(json!({"op": "SUBSCRIBE", "on": true}));
     }
+    /// Numbers end with their instance here.
+    fn forget(&mut self, _: EngineId) {}
 }
 
 impl Instance {
@@ -191,6 +193,7 @@
         kind: row.index("flavor")?,
         cell: row.whole("cohort")?,
         ready: row.text("condition")? == "healthy",
+        gone: row.text("condition")? == "deregistered",
         launched: row.maybe_time("launchedMs").filter(|at| !at.is_zero()),
     })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,8 @@
     fn wake_after(&mut self, wait: Duration);
     /// Asks for the changes of the engine list from now on.
     fn watch(&mut self);
+    /// An engine that is gone and that nothing is owed for any more: its number is free.
+    fn forget(&mut self, engine: EngineId);
 }
 
 /// The engines' side of what is told at start.
@@ -111,6 +113,8 @@
     pub kind: usize,
     pub cell: u64,
     pub ready: bool,
+    /// It will not come back under this number once it is forgotten.
+    pub gone: bool,
     pub launched: Option<Duration>,
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -234,12 +234,12 @@
 
     pub fn engines_changed(&mut self, now: Duration, whole: bool, rows: Vec<Listing>, out: &mut impl Outlet) {
         if whole {
-            self.engines.values_mut().for_each(|engine| engine.ready = false);
+            self.engines.values_mut().for_each(|engine| (engine.ready, engine.gone) = (false, true));
         }
         for row in rows {
             let new = || Engine::listed(&row, now, SAMPLES, OUTCOMES);
             let engine = self.engines.entry(row.engine).or_insert_with(new);
-            engine.ready = row.ready;
+            (engine.ready, engine.gone) = (row.ready, row.gone);
             if row.launched.is_some() && row.launched != engine.launched {
                 let before = std::mem::replace(engine, new());
                 (engine.out, engine.sent) = (before.out, before.sent);
@@ -626,7 +626,7 @@
         while rules.iter().any(|rule| rule(self, now, &mut sight, out)) {}
     }
 
-    fn forget_what_is_over(&mut self, now: Duration, _: &mut Sight, _: &mut impl Outlet) -> bool {
+    fn forget_what_is_over(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
         let over = |task: &Task| task.over && task.hops.iter().all(|hop| hop.end.is_some());
         let gone: BTreeSet<TaskId> = self.tasks.iter().filter(|(_, t)| over(t)).map(|(id, _)| *id).collect();
         self.tasks.retain(|id, _| !gone.contains(id));
@@ -637,11 +637,13 @@
         }
         let window = self.duties.hop_budget.as_ref().map_or(Duration::ZERO, |budget| budget.over);
         for times in [&mut self.accepted, &mut self.further] {
-            while times.front().is_some_and(|at| *at + window < now) {
-                times.pop_front();
-            }
+            while times.pop_front_if(|at| *at + window < now).is_some() {}
         }
-        !gone.is_empty()
+        // Guards against fleets that are replaced all day: an engine ends with the last task it has seen.
+        let seen = |id| self.tasks.values().any(|task| task.hops.iter().any(|hop| hop.engine == id));
+        let left = self.engines.iter().find(|(id, engine)| engine.gone && !seen(**id)).map(|(id, _)| *id);
+        left.inspect(|id| out.forget(*id)).and_then(|id| self.engines.remove(&id)).is_some()
+            || !gone.is_empty()
     }
 
     /// One final answer before patience ends, or the process, and at once where no further hop is allowed.
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,6 +45,7 @@
     pub kind: usize,
     pub cell: u64,
     pub ready: bool,
+    pub gone: bool,
     pub launched: Option<Duration>,
     /// When this router heard of that launch.
     pub listed: Duration,
@@ -131,6 +132,7 @@
             kind: row.kind,
             cell: row.cell,
             ready: row.ready,
+            gone: row.gone,
             launched: row.launched,
             listed: now,
             cold_since: row.launched,
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -40,6 +40,9 @@
     fn watch(&mut self) {
         self.add(format_args!("watch the list"));
     }
+    fn forget(&mut self, engine: EngineId) {
+        self.add(format_args!("forget engine {engine}"));
+    }
 }
 
 /// Traffic types 0 to 2: short replayable, long replayable on three threads, single-use holding its group.
@@ -201,6 +204,7 @@
         kind: 0,
         cell: engine as u64 / 2,
         ready,
+        gone: false,
         launched: launched.map(ms),
     }
 }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -503,3 +503,24 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn an_engine_that_has_gone_is_forgotten_with_the_last_task_that_it_has_seen() {
+    let mut trace = Trace::new(2, |_, _, _| {});
+    trace.accept(0, 100, 100.0).accept(0, 100, 100.0).at(10);
+    let gone = |engine| Listing { gone: true, ..listing(engine, false, None) };
+    trace.list(vec![gone(0), gone(1), listing(2, true, None)]);
+    trace.at(20).ended(0, 0, 0, HopEnd::Succeeded).at(30).ended(1, 0, 1, HopEnd::Broken);
+    trace.at(40).ended(1, 1, 2, HopEnd::Succeeded);
+    expect![[r#"
+        0     task 0 gets 125 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        0     task 1 gets 125 MB, priority 1
+        0     task 1 to engine 0 until 7980
+        10    forget engine 1
+        30    task 1 gets 125 MB, priority 1
+        30    task 1 to engine 2 until 7980
+        40    forget engine 0
+    "#]]
+    .assert_eq(&trace.decided());
+}
