Avoid engines where a load holds the task's group; all that breaks at once is a lost machine

Checked: debug log, bounced tasks by the ends of their hops: the first hop stands behind a load within 1 ms and is moved, the second stands behind another load until it is late. At fault: logic.rs, release(): only this router's own loads were known, and only among near ties. Now an engine keeps the groups that a hop was told to wait for, and for two beats tasks that wait for loads go elsewhere if they can. Where all that is out at an engine breaks at once it counts as a lost machine again.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -181,6 +181,7 @@
         if matches!(end, HopEnd::Succeeded | HopEnd::Failed | HopEnd::Overloaded) {
             engine.heard = now;
         }
+        let again = engine.bad.last().is_some_and(|(at, bad)| bad > 0.0 && at + self.fleet.tick >= now);
         match end {
             HopEnd::Succeeded => {
                 let stretch = seconds(now - sent) / (task.ideal + seconds(self.fleet.tick));
@@ -191,23 +192,23 @@
             }
             HopEnd::Overloaded => engine.refused = Some(now),
             HopEnd::Failed | HopEnd::TimedOut => engine.bad.push(now, 1.0),
-            // Guards against lost machines and halls: two marks, so that the first failed connect counts, and
-            // cold from then on, since the list tells of a restart late.
-            HopEnd::Unreachable => {
+            // Guards against lost machines and halls, whose connects fail or whose hops break all at once: two
+            // marks, and cold, since the list tells late. Any other break is one sign: a cut may mean nothing.
+            HopEnd::Unreachable | HopEnd::Broken
+                if end != HopEnd::Broken || again && engine.out.is_empty() =>
+            {
                 (0..2).for_each(|_| engine.bad.push(now, 1.0));
                 engine.cold_since = Some(now);
             }
-            // One sign for all that breaks at once: a connection may be cut while its engine is well.
-            HopEnd::Broken if engine.bad.last().is_none_or(|(at, _)| at + self.fleet.tick < now) => {
-                engine.bad.push(now, 1.0);
-            }
-            HopEnd::Broken | HopEnd::Withdrawn | HopEnd::Void => {}
+            HopEnd::Broken if !again => engine.bad.push(now, 1.0),
+            _ => {}
         }
         self.settle(now, out);
     }
 
     pub fn notice(&mut self, now: Duration, id: TaskId, hop: usize, notice: Notice, out: &mut impl Outlet) {
-        if let Some(hop_out) = self.tasks.get_mut(&id).and_then(|t| t.hops.get_mut(hop))
+        if let Some(task) = self.tasks.get_mut(&id)
+            && let Some(hop_out) = task.hops.get_mut(hop)
             && let Some(engine) = self.engines.get_mut(&hop_out.engine)
         {
             engine.heard = now;
@@ -218,6 +219,7 @@
                     hop_out.finish = Some(now + span(left));
                 }
                 Notice::Spills(missing_mb) => hop_out.missing = hop_out.missing.max(missing_mb),
+                Notice::WaitsForLoad => engine.held.extend(task.group.map(|group| (group, now))),
                 _ => {}
             }
             let spills = self.fleet.cuts_grants && matches!(notice, Notice::Spills(_));
@@ -594,9 +596,7 @@
         let usual = self.usual_cost(task.traffic);
         out.terms(id, grant.round(), self.priority(task.traffic));
         out.send(id, to, task.patience.saturating_sub(self.margin()));
-        if !task.hops.is_empty() {
-            self.further.push_back(now);
-        }
+        self.further.extend((!task.hops.is_empty()).then_some(now));
         let (group, threads) = (task.group, self.traffic[task.traffic].threads);
         let hops = &mut self.tasks.get_mut(&id).expect("a held task").hops;
         let engine = self.engines.get_mut(&to).expect("a listed engine");
@@ -691,9 +691,8 @@
     /// Under pressure, hops past their target whose type earns little when late make room for those in time.
     fn drop_what_is_late(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let pressed = |hop: &Hop| sight.engines[&hop.engine].pressed == Some(true);
-        let hops = self.tasks.iter().filter(|(_, task)| !task.over && task.out());
-        let hops = hops.filter(|(_, task)| task.hops.last().is_some_and(pressed));
-        let hops = hops.filter(|(_, task)| self.earns_little_late(task, now));
+        let late = |task: &Task| task.hops.last().is_some_and(pressed) && self.earns_little_late(task, now);
+        let hops = self.tasks.iter().filter(|(_, task)| !task.over && task.out() && late(task));
         self.take_back(hops.map(|(id, task)| (*id, task.hops.len() - 1)).collect(), out)
     }
 
@@ -756,24 +755,29 @@
                 full.retain(|slot| !free.iter().any(|(_, to, tier)| (self.engines[to].kind, *tier) == *slot));
                 blocked.extend(full);
             }
+            // Guards against standing still behind loads: an own one, or one that a hop lately stood behind.
+            let held = |to: EngineId| {
+                let engine = &self.engines[&to];
+                let mut loads = self.tasks_out(engine).filter(|t| self.traffic[t.traffic].holds_group);
+                let noted = task.group.and_then(|g| engine.held.get(&g)).is_some_and(|at| *at >= lately);
+                self.traffic[task.traffic].waits_for_loads && (noted || loads.any(|t| t.group == task.group))
+            };
+            let elsewhere = free.iter().any(|f| !held(f.1));
+            free.retain(|f| !elsewhere || !held(f.1));
             let most = free.iter().map(|f| f.0).fold(f64::NEG_INFINITY, f64::max);
             free.retain(|f| f.0 >= most - NEAR);
-            // Near ties only: away from a load on the group, to where it was read, to the home location.
+            // Near ties only: to where the group was read, to the home location.
             let liking = |to: EngineId| {
                 let engine = &self.engines[&to];
-                let mut loads = self.tasks_out(engine).filter(|t| self.traffic[t.traffic].holds_group);
-                let held = self.traffic[task.traffic].waits_for_loads && loads.any(|t| t.group == task.group);
                 let warm = task.group.is_some_and(|group| engine.groups.contains(&group));
-                (!held, warm, engine.location == self.fleet.home)
+                (warm, engine.location == self.fleet.home)
             };
             let liked = free.iter().max_by_key(|(_, to, _)| (liking(*to), self.chance(*to, self.draws)));
             let Some((_, to, tier)) = liked.copied() else { continue };
             let kind = self.engines[&to].kind;
             let (gateway, grant) = (&mut gateways[kind], self.grant(task, kind));
             (gateway.memory, gateway.threads) = (gateway.memory + grant, gateway.threads + threads);
-            if sight.engines[&to].pressed == Some(true) {
-                gateway.held[tier as usize] += threads;
-            }
+            gateway.held[tier as usize] += threads * f64::from(sight.engines[&to].pressed == Some(true));
             self.send(now, id, to, tier, out);
             self.draws += 1;
             gateway.small += f64::from(tier == Tier::Small);
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,6 +68,8 @@
     pub refused: Option<Duration>,
     pub report: Option<(Duration, Signals)>,
     pub groups: VecDeque<u64>,
+    /// Groups that a load held there, and when a hop last told of it.
+    pub held: BTreeMap<u64, Duration>,
 }
 
 pub struct Learned {
@@ -154,6 +156,7 @@
             refused: None,
             report: None,
             groups: VecDeque::new(),
+            held: BTreeMap::new(),
         }
     }
 
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -126,6 +126,11 @@
         self.arrive(arrival)
     }
 
+    /// A small task on a table group.
+    pub fn accept_in(&mut self, traffic: usize, group: u64) -> &mut Self {
+        self.arrive(Arrival { group: Some(group), ..arrival(traffic, 100, 300.0) })
+    }
+
     pub fn accept_keyed(&mut self, traffic: usize, cost: u64, memory: f64, key: Option<KeyId>) -> &mut Self {
         self.arrive(Arrival { key, ..arrival(traffic, cost, memory) })
     }
