--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -500,7 +500,8 @@
         100   task 4 to engine 0 until 7980
         100   task 5 gets 125 MB, priority 1
         100   task 5 to engine 0 until 7980
-    "#]].assert_eq(&trace.decided());
+    "#]]
+    .assert_eq(&trace.decided());
 }
 
 #[test]
@@ -524,7 +525,8 @@
         100   give up task 3
         100   give up task 4
         100   give up task 5
-    "#]].assert_eq(&trace.decided());
+    "#]]
+    .assert_eq(&trace.decided());
 }
 
 #[test]
@@ -549,7 +551,8 @@
         10    task 4 to engine 0 until 7990
         10    task 5 gets 375 MB, priority 1
         10    task 5 to engine 0 until 7990
-    "#]].assert_eq(&trace.decided());
+    "#]]
+    .assert_eq(&trace.decided());
 }
 
 #[test]
