--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -482,7 +482,7 @@
                     (Some("disk"), Some(missing_mb)) => Notice::Spills(missing_mb),
                     (Some("stall"), Some(1.0)) => Notice::WaitsForMemory,
                     (Some("stall"), Some(2.0)) => Notice::WaitsForLoad,
-                    (None, _) => return Ok(()),
+                    (None, _) => Notice::Runs,
                     (detail, value) => return Err(format!("a note {detail:?} of {value:?}")),
                 };
                 works.counters.count("notes");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -173,6 +173,8 @@
 
 #[derive(Clone, Copy, PartialEq)]
 pub enum Notice {
+    /// It is not over; nothing more is told.
+    Runs,
     Done(f64),
     Spills(f64),
     WaitsForMemory,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -116,10 +116,9 @@
         let usual = span(learned.patiences.median().unwrap_or(0.0));
         let spent = usual.saturating_sub(arrival.patience) * u32::from(arrival.later_try != Some(false));
         let key = arrival.key.filter(|_| traffic.keeps_order);
-        let cost = match arrival.cost.map(seconds) {
-            Some(told) => told * learned.cost_ratios.median().unwrap_or(1.0),
-            None => learned.costs.mean().unwrap_or(0.0),
-        };
+        let ratio = learned.cost_ratios.median().unwrap_or(1.0);
+        let cost = arrival.cost.map_or(learned.costs.mean().unwrap_or(0.0), |told| seconds(told) * ratio);
+        let ratio = learned.memory_ratios.median().unwrap_or(1.0);
         let ideal = cost / traffic.threads.max(1.0);
         let target = now + traffic.target + span(traffic.target_stretch * ideal);
         let task = Task {
@@ -128,10 +127,7 @@
             told_cost: arrival.cost.map(seconds),
             told_memory: arrival.memory_mb,
             ideal,
-            memory: match arrival.memory_mb {
-                Some(told) => told * learned.memory_ratios.median().unwrap_or(1.0),
-                None => learned.memories.mean().unwrap_or(0.0),
-            },
+            memory: arrival.memory_mb.map_or(learned.memories.mean().unwrap_or(0.0), |told| told * ratio),
             group: arrival.group,
             arrived: now,
             target: target.saturating_sub(spent).min(now + arrival.patience).min(self.closing),
@@ -192,8 +188,8 @@
             }
             HopEnd::Overloaded => engine.refused = Some(now),
             HopEnd::Failed | HopEnd::TimedOut => engine.bad.push(now, 1.0),
-            // Guards against lost machines and halls, whose connects fail or whose hops break all at once: two
-            // marks, and cold, since the list tells late. Any other break is one sign: a cut may mean nothing.
+            // Guards against lost machines and halls, whose connects fail or whose hops all break at once:
+            // two marks, and cold, as the list tells late. Any other break is one: a cut may mean nothing.
             HopEnd::Unreachable | HopEnd::Broken
                 if end != HopEnd::Broken || again && engine.out.is_empty() =>
             {
@@ -211,7 +207,7 @@
             && let Some(hop_out) = task.hops.get_mut(hop)
             && let Some(engine) = self.engines.get_mut(&hop_out.engine)
         {
-            engine.heard = now;
+            (engine.heard, hop_out.heard) = (now, now);
             hop_out.stands |= matches!(notice, Notice::WaitsForMemory | Notice::WaitsForLoad);
             match notice {
                 Notice::Done(done) if done > 0.0 => {
@@ -623,10 +619,9 @@
         while rules.iter().any(|rule| rule(self, now, &mut sight, out)) {}
     }
 
-    fn forget_what_is_over(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
+    fn forget_what_is_over(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let over = |task: &Task| task.over && task.hops.iter().all(|hop| hop.end.is_some());
-        let gone: BTreeSet<TaskId> = self.tasks.iter().filter(|(_, t)| over(t)).map(|(id, _)| *id).collect();
-        gone.iter().for_each(|id| drop(self.tasks.remove(id)));
+        let gone: BTreeSet<TaskId> = self.tasks.extract_if(.., |_, t| over(t)).map(|(id, _)| id).collect();
         if !gone.is_empty() {
             self.lines.values_mut().for_each(|line| line.tasks.retain(|id| !gone.contains(id)));
             let resting = |line: &Line| line.rest.is_some_and(|(_, until)| until > now);
@@ -639,8 +634,9 @@
         // Guards against fleets that are replaced all day: an engine ends with the last task it has seen.
         let seen = |id| self.tasks.values().any(|task| task.hops.iter().any(|hop| hop.engine == id));
         let left = self.engines.iter().find(|(id, engine)| engine.gone && !seen(**id)).map(|(id, _)| *id);
-        left.inspect(|id| out.forget(*id)).and_then(|id| self.engines.remove(&id)).is_some()
-            || !gone.is_empty()
+        left.inspect(|id| out.forget(*id));
+        sight.engines.retain(|id, _| Some(*id) != left);
+        left.and_then(|id| self.engines.remove(&id)).is_some() || !gone.is_empty()
     }
 
     /// One final answer before patience ends, or the process, and at once where no further hop is allowed.
@@ -654,17 +650,21 @@
         self.refuse(hopeless, out)
     }
 
-    /// Guards against engines that take work and answer nothing: takes hops back where a repeat is allowed.
+    /// Guards against engines, and single answers, of which nothing comes: takes back what may be repeated.
     fn cancel_on_silent_engines(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let mut fired = false;
-        for (id, _) in sight.engines.iter().filter(|(_, seen)| seen.silence >= 1.5) {
-            let hops = self.engines[id].out.iter().map(|out| (out.task, out.hop));
+        let from = self.fleet.note_every.map(|every| now.saturating_sub(every * 4));
+        for (id, seen) in &sight.engines {
+            let silent = seen.silence >= 1.5;
+            let heard = |o: &Out| self.tasks[&o.task].hops[o.hop].heard;
+            let lost = |o: &&Out| silent || from.is_some_and(|from| heard(o) < from);
+            let hops = self.engines[id].out.iter().filter(lost).map(|o| (o.task, o.hop));
             let hops = hops.filter(|(task, _)| self.may_move(&self.tasks[task], now));
             let hops = hops.take(self.hops_left(now) as usize).collect();
             if self.take_back(hops, out) {
                 // It would look free once its hops are taken back.
                 let engine = self.engines.get_mut(id).expect("a seen engine");
-                (0..2).for_each(|_| engine.bad.push(now, 1.0));
+                (0..2).filter(|_| silent).for_each(|_| engine.bad.push(now, 1.0));
                 fired = true;
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,6 +31,8 @@
 pub struct Hop {
     pub engine: EngineId,
     pub sent: Duration,
+    /// When it was sent or last noted.
+    pub heard: Duration,
     pub grant: f64,
     pub end: Option<HopEnd>,
     pub cancelled: bool,
@@ -173,7 +175,17 @@
 impl Hop {
     pub fn sent(now: Duration, engine: EngineId, grant: f64) -> Self {
         let (end, finish) = (None, None);
-        Self { engine, sent: now, grant, end, cancelled: false, stands: false, missing: 0.0, finish }
+        Self {
+            engine,
+            sent: now,
+            heard: now,
+            grant,
+            end,
+            cancelled: false,
+            stands: false,
+            missing: 0.0,
+            finish,
+        }
     }
 }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -575,3 +575,24 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn a_hop_of_which_nothing_is_noted_is_taken_back_while_its_engine_answers_others() {
+    let mut trace = Trace::new(2, |_, _, _| {});
+    trace.accept(0, 2000, 300.0).accept(0, 2000, 300.0).accept(0, 2000, 300.0);
+    for beat in 1..6 {
+        let done = Notice::Done(0.1 * beat as f64);
+        trace.at(beat * 450).notice(1, 0, done).notice(2, 0, done);
+    }
+    trace.wait(2300);
+    expect![[r#"
+        0     task 0 gets 375 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        0     task 1 gets 375 MB, priority 1
+        0     task 1 to engine 0 until 7980
+        0     task 2 gets 375 MB, priority 1
+        0     task 2 to engine 1 until 7980
+        2250  cancel task 0 hop 0
+    "#]]
+    .assert_eq(&trace.decided());
+}
