--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -342,7 +342,15 @@
         {
             // Answers may have come before the engine closed.
             self.read(slot, works);
-            self.lose(slot, &error.to_string(), true, works);
+            return self.lose(slot, &error.to_string(), true, works);
+        }
+        // A call that has left is not kept: it goes on to no other connection.
+        if link.output.is_empty() {
+            for hop in link.hops.values() {
+                if let Some(hop) = self.hops.get_mut(*hop).filter(|hop| hop.written.is_some()) {
+                    hop.call = Vec::new();
+                }
+            }
         }
     }
 
