Drop a case that can't come any more; one word for a client that is read out

Since a bulletin's deadline is cleared before the next is set, none of an earlier time is left to be passed over: that case is dead. Whether anything more is taken from a client was written three times.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -38,6 +38,11 @@
 }
 
 impl Client {
+    /// Nothing more is taken from it.
+    fn is_read_out(&self) -> bool {
+        self.deaf || self.shut
+    }
+
     fn waits_for_nothing(&self) -> bool {
         self.open.is_empty() && self.output.is_empty()
     }
@@ -176,7 +181,7 @@
         client.output.push(line);
         let drained = client.output.drain(&mut &*client.wire.socket);
         self.owed += client.output.len();
-        if client.deaf || client.shut {
+        if client.is_read_out() {
             self.ending.push(slot);
         }
         drained
@@ -190,7 +195,7 @@
         if let Some(client) = self.table.get_mut(slot) {
             client.open.remove(&id);
             client.active = now;
-            if client.deaf || client.shut {
+            if client.is_read_out() {
                 self.ending.push(slot);
             }
         }
@@ -198,7 +203,7 @@
 
     /// Whether one can't be read on and is owed nothing more.
     pub fn finished(&self, slot: Slot) -> bool {
-        self.table.get(slot).is_some_and(|c| (c.deaf || c.shut) && c.waits_for_nothing())
+        self.table.get(slot).is_some_and(|client| client.is_read_out() && client.waits_for_nothing())
     }
 
     /// Whether all that was said has left.
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -141,8 +141,7 @@
                 Due::Link(slot) => engines.link_overdue(slot, now, works),
                 Due::Whole(slot) => engines.not_whole(slot, works),
                 Due::Idle(slot) => engines.link_idle(slot, works),
-                Due::Bulletin if now >= self.bulletin.due => self.dial_bulletin(),
-                Due::Bulletin => {}
+                Due::Bulletin => self.dial_bulletin(),
                 Due::Client(slot) => self.client_overdue(slot, now),
                 Due::Admit => self.open_the_door(),
                 Due::Leave => self.leave(),
