The log tells of each client's connection that ends: why, what is open, unsaid and unread

Change: debug lines for each connection taken in, refused input and each end, with what the socket still holds unread.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -46,6 +46,12 @@
     fn waits_for_nothing(&self) -> bool {
         self.open.is_empty() && self.output.is_empty()
     }
+
+    /// What its connection holds, for the log.
+    pub fn held(&self) -> String {
+        let (begun, unsaid) = (self.input.len(), self.output.len());
+        format!("{} tasks open, {begun} bytes of a line begun, {unsaid} bytes not said", self.open.len())
+    }
 }
 
 /// What a connection's turn at reading came to.
--- a/crates/router/src/edge.rs
+++ b/crates/router/src/edge.rs
@@ -161,13 +161,20 @@
             unsent.into_iter().for_each(|slot| self.flush_link(slot));
             for slot in unsaid {
                 if !self.flush_client(slot) {
-                    self.front.client_gone(slot);
+                    self.front.client_gone(slot, "it can't be written to");
                 }
             }
             for (slot, mut words) in closed {
                 // What its socket does not take at once is lost with it.
                 if let Some(wire) = self.clients.remove(&slot) {
                     let _ = words.drain(&mut &*wire.socket);
+                    let unread = wire.socket.peek(&mut [0; 4096]).unwrap_or_default();
+                    if unread + words.len() > 0 {
+                        log::debug!(
+                            "client {slot:?}: {} bytes not said, {unread} or more not read",
+                            words.len()
+                        );
+                    }
                 }
             }
         }
@@ -186,7 +193,7 @@
                 return self.pause();
             }
             match listener.accept() {
-                Ok((socket, _)) => {
+                Ok((socket, from)) => {
                     if full {
                         self.make_room();
                     }
@@ -195,6 +202,7 @@
                     match Wire::attend(&self.ear, socket, move |edge: &mut Self| edge.client_ready(slot)) {
                         Ok(wire) => {
                             let slot = self.front.admit();
+                            log::debug!("client {slot:?} from {from}");
                             self.clients.insert(slot, wire);
                             self.unheard.push(slot);
                         }
@@ -222,7 +230,7 @@
         let idle = self.front.floor.clients.idlest();
         if let Some(slot) = idle {
             self.front.works().counters.count("clients_closed_for_room");
-            self.front.client_gone(slot);
+            self.front.client_gone(slot, "idle, to make room");
             self.carry_out();
         }
         idle.is_some()
@@ -246,7 +254,7 @@
         self.look_at_the_clock();
         let Some(socket) = self.clients.get(&slot).map(|wire| Rc::clone(&wire.socket)) else { return };
         if !self.flush_client(slot) {
-            self.front.client_gone(slot);
+            self.front.client_gone(slot, "it can't be written to");
             return self.carry_out();
         }
         for _ in 0..LINES {
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -133,12 +133,12 @@
     pub fn clear(&mut self) {
         for slot in std::mem::take(&mut self.floor.clients.ending) {
             if self.floor.clients.finished(slot) {
-                self.client_gone(slot);
+                self.client_gone(slot, "nothing more to hear or to say");
             }
         }
         while let Some(slot) = self.floor.clients.swollen() {
             self.floor.works.counters.count("clients_too_slow");
-            self.client_gone(slot);
+            self.client_gone(slot, "it reads least of its answers");
         }
     }
 
@@ -197,7 +197,7 @@
             Heard::Passed => {}
             Heard::TooLong => self.object(slot, None, jsonrpc::PARSE, "a line without end"),
             Heard::Closed => {
-                self.client_gone(slot);
+                self.client_gone(slot, "reset or closed by the client");
                 return false;
             }
             Heard::Nothing => return false,
@@ -207,7 +207,7 @@
 
     fn object(&mut self, slot: Slot, id: Option<u64>, code: i64, message: &str) {
         self.floor.works.counters.count("client_input_refused");
-        log::debug!("refused from a client: {message}");
+        log::debug!("refused from client {slot:?} under id {id:?}: {message}");
         self.floor.clients.say(slot, &jsonrpc::error(id, code, message, None));
     }
 
@@ -309,7 +309,7 @@
             group,
         };
         log::debug!(
-            "task {} {req}: {method}, cost {cost:?}, memory {memory_mb:?} MB, group {:?}, patience {patience} ms, \
+            "task {} {req} of client {slot:?}: {method}, cost {cost:?}, memory {memory_mb:?} MB, group {:?}, patience {patience} ms, \
              resent {resent}, key {opkey:?}",
             arrival.task,
             arrival.group
@@ -442,14 +442,16 @@
                 if begun {
                     self.object(slot, None, jsonrpc::PARSE, "a line that stopped short");
                 }
-                self.client_gone(slot);
+                self.client_gone(slot, if begun { "stopped within a line" } else { "idle" });
             }
             Err(due) => self.floor.works.deadlines.set(due, Due::Client(slot)),
         }
     }
 
-    pub fn client_gone(&mut self, slot: Slot) {
+    /// A client's connection ends; what is open on it is owed to nobody any more.
+    pub fn client_gone(&mut self, slot: Slot, why: &str) {
         let Some(client) = self.floor.clients.take(slot) else { return };
+        log::debug!("client {slot:?} over with {}: {why}", client.held());
         self.floor.works.deadlines.clear(client.due, Due::Client(slot));
         self.closed.push((slot, client.output));
         let now = self.floor.works.now();
