No client is closed for room while something of it stands unread; floods take turns

Cause: edge.rs, admit and make_room: all that waits at the door is accepted before anybody is read, and the table then full closes the one 'idle' longest that never said anything: one that came a moment before, unread. Ruled out: no ordinary connection was closed for silence, a half line or slow reading (each end is in the log); none was answered late by the network code (the latest answers left at patience and 4 ms). Also seen, by a probe of the loop: turns of 8 to 17 ms where a client sends 200 requests and withdraws them, 64 lines at once, while deadlines and others' lines wait; patience counted from when a line was read, however late. Change: idle is who was quiet for 50 ms (the protocol's crossing time) and has nothing in its socket, which is read first; where nobody is, the rest waits 50 ms in the kernel, which now queues as many as there are descriptors. The same look before an idle or stalled client is closed. Lines of clients are heard one each in turn, deadlines between them; a task's patience counts from when its line can have come at the earliest. Tests: a stopped program finds a task, a new connection with one and 20 silent ones at once (12 places): the engine never hears of it before, both are served now; a flood of 300 lines on three connections: one line of each at most now.

--- a/crates/explorer/src/house.rs
+++ b/crates/explorer/src/house.rs
@@ -382,7 +382,8 @@
 
     fn hear(&mut self, client: usize, mut came: Came) {
         let slot = self.seats[client].slot;
-        while self.front.hear(slot, &mut came, || false) {}
+        let now = self.front.floor.works.now();
+        while self.front.hear(slot, now, &mut came, || false) {}
     }
 
     fn answer(&mut self, link: Slot, call: usize, word: &str, body: &str) {
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -16,6 +16,9 @@
 /// error or an answer within 3 s of connecting.
 const STALLED: Duration = Duration::from_secs(2);
 const IDLE: Duration = Duration::from_secs(5);
+/// What was on its way to a connection when it was closed: the protocol has it cross within this. A client that
+/// came, said something or was answered within it may have a task on its way.
+pub const CROSSING: Duration = Duration::from_millis(50);
 
 #[derive(Clone)]
 pub struct Client {
@@ -29,6 +32,8 @@
     heard: bool,
     /// When it last had something to say or was answered, or began to.
     active: Duration,
+    /// When the last of what it said came, at the earliest.
+    came: Duration,
     /// When it is looked at next.
     pub due: Duration,
     /// Nothing more is taken from it; it closes once all is answered.
@@ -56,7 +61,8 @@
 
 /// What a connection's turn at reading came to.
 pub enum Heard {
-    Line(Vec<u8>),
+    /// A line, and when its last byte came at the earliest.
+    Line(Vec<u8>, Duration),
     TooLong,
     /// Read and thrown away.
     Passed,
@@ -94,6 +100,7 @@
             open,
             heard: false,
             active: now,
+            came: now,
             due,
             deaf: false,
             shut: false,
@@ -107,9 +114,11 @@
         Some(client)
     }
 
-    /// Of those that wait for nothing, the one that has for longest; first those that never said anything.
-    pub fn idlest(&self) -> Option<Slot> {
-        let idle = self.table.iter().filter(|(_, client)| client.waits_for_nothing());
+    /// Of those that wait for nothing, the one that has for longest; first those that never said anything. Guards
+    /// against floods of connections, which left no time to say something to those that came just before.
+    pub fn idlest(&self, now: Duration) -> Option<Slot> {
+        let quiet = |client: &Client| client.active.max(client.came) + CROSSING <= now;
+        let idle = self.table.iter().filter(|(_, client)| client.waits_for_nothing() && quiet(client));
         idle.min_by_key(|(_, client)| (client.heard, client.active)).map(|(slot, _)| slot)
     }
 
@@ -130,12 +139,13 @@
         if due <= now { Ok(begun) } else { Err(due) }
     }
 
-    /// The next line that comes from `from`, or has come. A client that does not read its answers is not read
-    /// from either; `failed` tells whether one that has shut can't be written to.
+    /// The next line that comes from `from`, or has come; what is read now came at `since` at the earliest. A
+    /// client that does not read its answers is not read from either; `failed` tells whether one that has shut
+    /// can't be written to.
     pub fn hear(
         &mut self,
         slot: Slot,
-        now: Duration,
+        (now, since): (Duration, Duration),
         from: &mut impl Read,
         failed: impl Fn() -> bool,
     ) -> Heard {
@@ -163,7 +173,7 @@
                 let line = line.to_vec();
                 client.input.consume(length);
                 (client.scanned, client.active, client.heard) = (0, now, true);
-                return Heard::Line(line);
+                return Heard::Line(line, client.came);
             }
             client.scanned = client.input.len();
             if client.scanned >= most {
@@ -174,6 +184,7 @@
             match client.input.fill(from, most) {
                 Err(_) => return Heard::Closed,
                 Ok(_) if client.input.len() > before => {
+                    client.came = since;
                     if before == 0 && client.heard {
                         client.active = now;
                     }
@@ -233,6 +244,7 @@
             // Who has been idle for long enough is idle, however long.
             let active = client.active.max(now.saturating_sub(IDLE));
             (client.heard, since(active), since(client.due), client.deaf, client.shut).hash(into);
+            (!client.input.is_empty()).then(|| since(client.came)).hash(into);
         }
     }
 
--- a/crates/router/src/door.rs
+++ b/crates/router/src/door.rs
@@ -65,7 +65,8 @@
     /// Takes a task in, or tells after what time such a one would be taken.
     pub fn knock(&mut self, now: Duration, arrival: Arrival, knock: Knock) -> Result<(), Refusal> {
         let Knock { team, urgency, identity, key, work, target, margin, asks_to_be_told } = knock;
-        let (task, patience) = (arrival.task, arrival.patience);
+        let (task, since) = (arrival.task, now.saturating_sub(arrival.waited));
+        let patience = arrival.patience.saturating_sub(arrival.waited);
         let (traffic, identity) = (arrival.traffic as u16, Some(identity));
         let asking = Asking { task, team, urgency, traffic, work, target, patience, identity, key };
         self.queues.arrive(now, asking)?;
@@ -73,7 +74,7 @@
         let told = (asks_to_be_told && self.roll.waits_field.is_some()).then_some(now);
         self.due.insert((by, Call::HandOn, task));
         self.due.extend(told.map(|at| (at, Call::Tell, task)));
-        self.waiting.insert(task, Waiting { arrival, since: now, by, told });
+        self.waiting.insert(task, Waiting { arrival, since, by, told });
         Ok(())
     }
 
--- a/crates/router/src/edge.rs
+++ b/crates/router/src/edge.rs
@@ -2,14 +2,16 @@
 //! nothing.
 
 use crate::bulletin;
+use crate::clients::CROSSING;
 use crate::clock::Clock;
 use crate::deadlines::Due;
 use crate::engines::Ask;
 use crate::front::Front;
 use crate::premises::Briefing;
+use crate::ready::Ready;
 use crate::ring::Filled;
 use crate::slots::Slot;
-use crate::wires::Wire;
+use crate::wires::{Wire, listen};
 use crate::works::Works;
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
@@ -20,14 +22,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Lines taken from one client in one turn of the loop.
+/// Lines taken from clients in one turn of the loop.
 const LINES: usize = 64;
 /// The bulletin sends something each second; it is dialled again after so much silence, or so long after a
 /// failure.
 const SILENCE: Duration = Duration::from_millis(2500);
 const AGAIN: Duration = Duration::from_millis(200);
-/// New connections wait so long where there is no room.
-const PAUSE: Duration = Duration::from_millis(50);
 
 pub struct Edge {
     front: Front,
@@ -36,9 +36,14 @@
     clients: BTreeMap<Slot, Wire<Edge>>,
     links: BTreeMap<Slot, Wire<Edge>>,
     bulletin: Option<Wire<Edge>>,
-    /// Clients and connections to engines that have more to say than one turn took.
-    unheard: Vec<Slot>,
+    /// Clients that may have something to say, and connections to engines that have more than one turn took.
+    unheard: Ready,
     unread: Vec<Slot>,
+    /// When the sockets were last looked at, how long the work took that came before, and whether they are being
+    /// looked at.
+    looked: Duration,
+    work: Duration,
+    looking: bool,
     door: RegistrationToken,
     /// Reads the configuration.
     read: Box<dyn Fn() -> Result<Briefing, String>>,
@@ -56,9 +61,8 @@
             .map_err(|e| fault("signals", &e))?;
         let heard = |event: calloop::signals::Event, _: &mut (), edge: &mut Self| edge.signal(event.signal());
         ear.insert_source(stops, heard).map_err(|e| fault("signals", &e))?;
-        let listener = TcpListener::bind(premises.listen);
+        let listener = listen(premises.listen, premises.descriptors);
         let listener = listener.map_err(|e| fault(&format!("listening on {}", premises.listen), &e))?;
-        listener.set_nonblocking(true).map_err(|e| fault("listening", &e))?;
         let address = listener.local_addr().map_err(|e| fault("listening", &e))?;
         log::info!("{} listens on {address}", premises.name);
         let listener = Rc::new(listener);
@@ -74,17 +78,23 @@
             clients: BTreeMap::new(),
             links: BTreeMap::new(),
             bulletin: None,
-            unheard: Vec::new(),
+            unheard: Ready::default(),
             unread: Vec::new(),
+            looked: Duration::ZERO,
+            work: Duration::ZERO,
+            looking: false,
             door,
             read: Box::new(read),
         };
+        edge.looked = edge.clock.now();
         edge.dial_bulletin();
         while !edge.front.left {
             let due = edge.front.works().deadlines.first().map(|at| at.saturating_sub(edge.clock.now()));
             let done = edge.unheard.is_empty() && edge.unread.is_empty();
             let wait = if done { due } else { Some(Duration::ZERO) };
+            (edge.work, edge.looking) = (edge.clock.now().saturating_sub(edge.looked), true);
             event_loop.dispatch(wait, &mut edge).map_err(|e| fault("the loop", &e))?;
+            edge.has_looked();
             edge.turn();
         }
         log::info!("counters at exit: {}", edge.front.floor.tally());
@@ -96,23 +106,47 @@
 
     /// Takes the time for the input that follows.
     fn look_at_the_clock(&mut self) {
+        self.has_looked();
         self.front.works().now = self.clock.now();
     }
 
-    /// What follows the sockets in each turn of the loop.
-    fn turn(&mut self) {
-        for slot in std::mem::take(&mut self.unheard) {
-            self.client_ready(slot);
+    /// Takes the time when the sockets were looked at, the first time that this is called after.
+    fn has_looked(&mut self) {
+        if std::mem::take(&mut self.looking) {
+            self.looked = self.clock.now();
         }
+    }
+
+    /// When what the sockets told last came at the earliest: it was not there the time before, and may have come
+    /// during the work that followed. A task's patience counts from then.
+    fn since(&self) -> Duration {
+        self.looked.saturating_sub(self.work)
+    }
+
+    /// What follows the sockets in each turn of the loop. Guards against floods of clients' lines: before each,
+    /// what falls due is done, and nobody's next line waits for more than one of each other client.
+    fn turn(&mut self) {
         for slot in std::mem::take(&mut self.unread) {
             self.link_ready(slot);
         }
+        for _ in 0..LINES {
+            self.fall_due();
+            let Some((slot, since)) = self.unheard.next() else { break };
+            self.hear(slot, since);
+        }
+        self.fall_due();
+        self.front.clear();
+        self.carry_out();
+    }
+
+    fn fall_due(&mut self) {
         loop {
             self.look_at_the_clock();
-            let now = self.clock.now();
+            let now = self.front.works().now();
             let Some(due) = self.front.works().deadlines.pop(now) else { break };
             match due {
                 // Guards against a router that is late itself: what came meanwhile counts.
+                Due::Client(slot) => self.hear(slot, self.since()),
                 Due::Hop(hop) => {
                     if let Some(link) = self.front.floor.engines.link_of(hop) {
                         self.link_ready(link);
@@ -122,13 +156,11 @@
                 Due::Whole(slot) => self.read_link(slot),
                 Due::Bulletin => self.dial_bulletin(),
                 Due::Admit => self.open_the_door(),
-                Due::Wake | Due::Idle(_) | Due::Client(_) | Due::Leave | Due::Door => {}
+                Due::Wake | Due::Idle(_) | Due::Leave | Due::Door => {}
             }
             self.front.due(due);
             self.carry_out();
         }
-        self.front.clear();
-        self.carry_out();
     }
 
     /// Does what the front asks for, until it asks for nothing more.
@@ -185,17 +217,16 @@
     /// Takes new connections in. Where there is no room, the one that has been idle longest makes some;
     /// where none is, new ones wait a little with the kernel.
     fn admit(&mut self, listener: &TcpListener) -> PostAction {
-        self.look_at_the_clock();
         loop {
-            let floor = &self.front.floor;
-            let full = floor.clients.table.len() >= floor.premises.most_clients();
-            if full && floor.clients.idlest().is_none() {
+            self.look_at_the_clock();
+            let idle = if self.is_full() { self.idlest() } else { None };
+            if idle.is_none() && self.is_full() {
                 return self.pause();
             }
             match listener.accept() {
                 Ok((socket, from)) => {
-                    if full {
-                        self.make_room();
+                    if let Some(slot) = idle.filter(|_| self.is_full()) {
+                        self.make_room(slot);
                     }
                     let floor = &mut self.front.floor;
                     let slot = floor.clients.table.next();
@@ -204,7 +235,7 @@
                             let slot = self.front.admit();
                             log::debug!("client {slot:?} from {from}");
                             self.clients.insert(slot, wire);
-                            self.unheard.push(slot);
+                            self.client_ready(slot);
                         }
                         Err(error) => {
                             floor.works.counters.count("clients_not_admitted");
@@ -218,22 +249,36 @@
                 Err(error) => {
                     self.front.works().counters.count("accepts_failed");
                     log::warn!("accept: {error}");
-                    if !self.make_room() {
-                        return self.pause();
+                    match idle.or_else(|| self.idlest()) {
+                        Some(slot) => self.make_room(slot),
+                        None => return self.pause(),
                     }
                 }
             }
         }
     }
 
-    fn make_room(&mut self) -> bool {
-        let idle = self.front.floor.clients.idlest();
-        if let Some(slot) = idle {
-            self.front.works().counters.count("clients_closed_for_room");
-            self.front.client_gone(slot, "idle, to make room");
-            self.carry_out();
+    fn is_full(&self) -> bool {
+        self.front.floor.clients.table.len() >= self.front.floor.premises.most_clients()
+    }
+
+    /// The client that has been idle for longest, as its socket shows as well. Guards against tasks that stood
+    /// there unread: a connection was closed with what counts as taken.
+    fn idlest(&mut self) -> Option<Slot> {
+        loop {
+            let now = self.front.works().now();
+            let slot = self.front.floor.clients.idlest(now)?;
+            self.hear(slot, self.since());
+            if self.front.floor.clients.idlest(now) == Some(slot) {
+                return Some(slot);
+            }
         }
-        idle.is_some()
+    }
+
+    fn make_room(&mut self, slot: Slot) {
+        self.front.works().counters.count("clients_closed_for_room");
+        self.front.client_gone(slot, "idle, to make room");
+        self.carry_out();
     }
 
     fn open_the_door(&mut self) {
@@ -246,25 +291,27 @@
     fn pause(&mut self) -> PostAction {
         let works = self.front.works();
         works.counters.count("accepts_paused");
-        works.deadlines.set(works.now() + PAUSE, Due::Admit);
+        works.deadlines.set(works.now() + CROSSING, Due::Admit);
         PostAction::Disable
     }
 
     fn client_ready(&mut self, slot: Slot) {
+        self.has_looked();
+        self.unheard.add(slot, self.since());
+    }
+
+    /// Hears the next line of a client, which came at `since` at the earliest.
+    fn hear(&mut self, slot: Slot, since: Duration) {
         self.look_at_the_clock();
         let Some(socket) = self.clients.get(&slot).map(|wire| Rc::clone(&wire.socket)) else { return };
         if !self.flush_client(slot) {
             self.front.client_gone(slot, "it can't be written to");
             return self.carry_out();
         }
-        for _ in 0..LINES {
-            let more = self.front.hear(slot, &mut &*socket, || !matches!(socket.take_error(), Ok(None)));
-            self.carry_out();
-            if !more {
-                return;
-            }
+        if self.front.hear(slot, since, &mut &*socket, || !matches!(socket.take_error(), Ok(None))) {
+            self.unheard.add(slot, self.front.floor.works.now());
         }
-        self.unheard.push(slot);
+        self.carry_out();
     }
 
     /// Writes what is to be said to a client; tells whether it could be written to.
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -112,7 +112,7 @@
         &mut self.floor.works
     }
 
-    /// What falls due without a word to a socket before it.
+    /// What falls due; whoever holds the sockets has read what came for it before.
     pub fn due(&mut self, due: Due) {
         let now = self.floor.works.now();
         let Floor { engines, works, .. } = &mut self.floor;
@@ -184,12 +184,19 @@
 
     // ---- clients ----
 
-    /// Takes in the next line of a client, which may come from `from`; tells whether more may follow at once.
-    pub fn hear(&mut self, slot: Slot, from: &mut impl Read, failed: impl Fn() -> bool) -> bool {
+    /// Takes in the next line of a client, which may come from `from` and came there at `since` at the earliest;
+    /// tells whether more may follow at once.
+    pub fn hear(
+        &mut self,
+        slot: Slot,
+        since: Duration,
+        from: &mut impl Read,
+        failed: impl Fn() -> bool,
+    ) -> bool {
         let now = self.floor.works.now();
-        match self.floor.clients.hear(slot, now, from, failed) {
-            Heard::Line(line) => {
-                if let Err((id, code, message)) = self.line(slot, &line) {
+        match self.floor.clients.hear(slot, (now, since), from, failed) {
+            Heard::Line(line, came) => {
+                if let Err((id, code, message)) = self.line(slot, &line, now.saturating_sub(came)) {
                     self.object(slot, id, code, &message);
                 }
                 self.tell();
@@ -211,7 +218,8 @@
         self.floor.clients.say(slot, &jsonrpc::error(id, code, message, None));
     }
 
-    fn line(&mut self, slot: Slot, line: &[u8]) -> Result<(), Objection> {
+    /// A line that has waited to be read for so long.
+    fn line(&mut self, slot: Slot, line: &[u8], waited: Duration) -> Result<(), Objection> {
         let (id, method, params) = jsonrpc::request(line)?;
         match method.as_str() {
             "status" => self.status(slot, id),
@@ -219,7 +227,7 @@
                 self.withdrawn(slot, id, Fields(&params));
                 Ok(())
             }
-            _ => self.take(slot, id, &method, Fields(&params)),
+            _ => self.take(slot, id, (&method, Fields(&params)), waited),
         }
     }
 
@@ -242,7 +250,13 @@
         }
     }
 
-    fn take(&mut self, slot: Slot, id: Option<u64>, method: &str, fields: Fields) -> Result<(), Objection> {
+    fn take(
+        &mut self,
+        slot: Slot,
+        id: Option<u64>,
+        (method, fields): (&str, Fields),
+        waited: Duration,
+    ) -> Result<(), Objection> {
         let now = self.floor.works.now();
         let class = self.floor.premises.traffic.iter().position(|name| name == method);
         let class = class.ok_or_else(|| (id, jsonrpc::NO_METHOD, format!("no method `{method}`")))?;
@@ -304,7 +318,7 @@
             cost,
             memory_mb,
             patience: from_ms(patience).min(LONGEST),
-            waited: Duration::ZERO,
+            waited,
             later_try: floor.premises.marks_retries.then_some(resent),
             group,
         };
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod front;
 pub mod jsonrpc;
 pub mod premises;
+mod ready;
 pub mod resp;
 pub mod ring;
 pub mod slots;
--- a/crates/router/src/wires.rs
+++ b/crates/router/src/wires.rs
@@ -4,7 +4,7 @@
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
 /// A connection's socket and its place in the loop, which it leaves when it is dropped.
@@ -20,6 +20,16 @@
     }
 }
 
+/// Listens at an address. As many connections may wait to be accepted as a process holds: those beyond are begun
+/// anew by their clients, a second or more later.
+pub fn listen(at: SocketAddr, most: usize) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM.nonblocking(), Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(most.try_into().unwrap_or(i32::MAX))?;
+    Ok(socket.into())
+}
+
 impl<T> Wire<T> {
     /// Has `ready` called at every change of what the socket can do.
     pub fn attend(
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -99,7 +99,17 @@
     }
 
     /// Within so many MB and descriptors.
-    fn open_within((memory, sockets): (u32, u32), name: &str, engines: usize, settings: &str) -> Self {
+    fn open_within(limits: (u32, u32), name: &str, engines: usize, settings: &str) -> Self {
+        Self::open_logged("info", limits, name, engines, settings)
+    }
+
+    fn open_logged(
+        level: &str,
+        (memory, sockets): (u32, u32),
+        name: &str,
+        engines: usize,
+        settings: &str,
+    ) -> Self {
         let at = address();
         let listener = || TcpListener::bind((at, 0)).expect("a port");
         let (bulletin, engines): (_, Vec<_>) = (listener(), (0..engines).map(|_| listener()).collect());
@@ -125,7 +135,7 @@
         // The operator's own file stands beside it, where there is one.
         let operator = path.with_extension("json5");
         let mut command = program();
-        command.arg("serve").arg("--config").arg(&path);
+        command.arg("serve").arg("--config").arg(&path).env("RUST_LOG", level);
         if operator.exists() {
             command.arg("--operator").arg(&operator);
         }
@@ -172,13 +182,32 @@
         Command::new("kill").arg(signal).arg(self.program.id().to_string()).status().expect("kill");
     }
 
-    /// Waits until its log says so.
-    fn logs(&mut self, what: &str) {
-        let mut line = String::new();
+    /// Waits until its log says so; how many lines before it say something else.
+    fn logs_after(&mut self, what: &str, other: &str) -> usize {
+        let (mut line, mut others) = (String::new(), 0);
         while !line.contains(what) {
+            others += usize::from(line.contains(other));
             line.clear();
             assert_ne!(self.log.read_line(&mut line).expect("its log"), 0, "it ended before it said {what}");
         }
+        others
+    }
+
+    fn logs(&mut self, what: &str) {
+        self.logs_after(what, what);
+    }
+
+    /// What is done meanwhile it finds all at once.
+    fn meanwhile<T>(&self, done: impl FnOnce(&Self) -> T) -> T {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.program.id());
+        let stopped = || std::fs::read_to_string(&stat).expect("its state").contains(") T ");
+        while !stopped() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        let result = done(self);
+        self.signal("-CONT");
+        result
     }
 
     /// Ends it as planned; the counters that the exit tells, of those named.
@@ -1353,3 +1382,57 @@
     "#]]
     .assert_eq(&house.end(&["list_events", "bulletin_dialled"]));
 }
+
+/// Seen on days with bad clients: a connection that had just come was closed to make room for those behind it, and
+/// the task that stood there unread was lost.
+#[test]
+fn a_connection_with_something_unread_makes_no_room_for_others() {
+    let mut house = House::open_within((64, 24), "crowd", 1, &settings(5000, 8000));
+    let mut known = house.client();
+    known.say(r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#);
+    known.hear();
+    std::thread::sleep(Duration::from_millis(60));
+    let (mut new, _silent) = house.meanwhile(|house| {
+        known.ask(1, "lookup", 8000);
+        let mut new = house.client();
+        new.ask(2, "lookup", 8000);
+        (new, (0..20).map(|_| house.client()).collect::<Vec<_>>())
+    });
+    let mut engine = house.engine(0);
+    for _ in 0..2 {
+        let call = engine.call();
+        let id = u64::from_str_radix(&call[4..20], 16).expect("its name");
+        engine.say(id, "HIT", "pages=1", "a\tb\tc\n");
+    }
+    house.note(known.hear()).note(new.hear());
+    expect![[r#"
+        {"jsonrpc":"2.0","id":1,"result":{"data":"YQliCWMK"}}
+        {"jsonrpc":"2.0","id":2,"result":{"data":"YQliCWMK"}}
+        ended with Some(0): tasks_succeeded=2
+    "#]]
+    .assert_eq(&house.end(&["tasks_succeeded", "tasks_withdrawn"]));
+}
+
+#[test]
+fn the_lines_of_a_flood_are_taken_in_turn_with_those_of_others() {
+    let mut house = House::open_logged("debug", (64, 256), "turns", 1, &settings(5000, 8000));
+    let (mut flood, mut client): (Vec<_>, _) = ((0..3).map(|_| house.client()).collect(), house.client());
+    for client in flood.iter_mut().chain([&mut client]) {
+        client.say(r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#);
+        client.hear();
+    }
+    house.meanwhile(|_| {
+        for bad in &mut flood {
+            bad.say(&vec!["nonsense"; 100].join("\n"));
+        }
+        client.ask(2, "lookup", 8000);
+    });
+    let before = house.logs_after("task 0 ", "refused from client");
+    house.note(format!("one line of each of the flood at most before the task: {}", before <= flood.len()));
+    house.engine(0).call();
+    expect![[r#"
+        one line of each of the flood at most before the task: true
+        ended with Some(0): client_input_refused=300
+    "#]]
+    .assert_eq(&house.end(&["client_input_refused"]));
+}
