--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -1437,3 +1437,48 @@
     "#]]
     .assert_eq(&house.end(&["client_input_refused"]));
 }
+
+/// Says `lines` on a connection of its own, as far as the router takes them, and reads what it is told.
+fn floods(at: SocketAddr, lines: Vec<u8>) -> std::thread::JoinHandle<()> {
+    std::thread::spawn(move || {
+        let Ok(mut socket) = TcpStream::connect(at) else { return };
+        let mut reads = socket.try_clone().expect("a second handle");
+        let listener = std::thread::spawn(move || while reads.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {});
+        // A router that has closed the connection takes no more.
+        let _ = socket.write_all(&lines);
+        let _ = socket.shutdown(Shutdown::Write);
+        listener.join().expect("it reads to the end");
+    })
+}
+
+#[test]
+fn an_ordinary_client_is_answered_in_the_midst_of_floods() {
+    let mut house = House::open("midst", 1, &settings(5000, 8000));
+    let noise = (0u32..200_000).map(|at| (at.wrapping_mul(2_654_435_761) >> 24) as u8).collect();
+    let withdrawn = (1000..1200).flat_map(|id| {
+        let withdraw = format!(r#"{{"jsonrpc":"2.0","method":"withdraw","params":{{"req":"{id:016x}"}}}}"#);
+        (Client::line("", id, "lookup", 8000) + &withdraw + "\n").into_bytes()
+    });
+    let at_once = (2000..2300).flat_map(|id| Client::line("", id, "lookup", 500).into_bytes());
+    let lines: [Vec<u8>; 5] =
+        [noise, vec![b'['; 3_000_000], vec![b'\n'; 20_000], withdrawn.collect(), at_once.collect()];
+    let floods: Vec<_> = lines.into_iter().map(|lines| floods(house.at, lines)).collect();
+    let silent: Vec<_> = (0..60).map(|_| house.client()).collect();
+    let (mut client, mut engine) = (house.client(), house.engine(0));
+    let mut whole = 0;
+    for id in 1..=20 {
+        client.ask(id, "lookup", 8000);
+        while !engine.call().contains(&format!("{id:016x}")) {}
+        engine.say(id, "HIT", "pages=1", "a\tb\tc\n");
+        let answer = format!(r#"{{"jsonrpc":"2.0","id":{id},"result":{{"data":"YQliCWMK"}}}}"#);
+        whole += usize::from(client.hear() == answer);
+    }
+    floods.into_iter().for_each(|flood| flood.join().expect("it ends"));
+    drop(silent);
+    house.note(format!("{whole} whole answers in turn"));
+    expect![[r#"
+        20 whole answers in turn
+        ended with Some(0): tasks_succeeded=20
+    "#]]
+    .assert_eq(&house.end(&["tasks_succeeded", "a_second_answer"]));
+}
