--- a/crates/router/tests/front.rs
+++ b/crates/router/tests/front.rs
@@ -65,6 +65,19 @@
     .assert_eq(&told.concat());
 }
 
+/// Seen on days with bad clients: answers left 4 ms before their clients gave up, and came after.
+#[test]
+fn an_answer_leaves_sooner_by_what_its_way_may_take() {
+    let mut front = front();
+    let slot = front.admit();
+    let told = [(1, 100), (2, 200)].map(|(id, patience)| says(&mut front, slot, &ask(id, patience), 0));
+    expect![[r#"
+        {"error":{"code":-32011,"message":"bounced: a retry is harmless"},"id":1,"jsonrpc":"2.0"}
+        no answer yet
+    "#]]
+    .assert_eq(&told.concat());
+}
+
 #[test]
 fn room_is_made_by_who_was_quiet_and_first_by_who_never_spoke() {
     let mut front = front();
