What a client left waiting is not sent on; who left is known before there is room

Cause, from reading the code: a client's end of input only set `shut` (clients.rs, hear), its open tasks went on, were released from tiers, waited for connections and hopped again; links were read and released within the loop's dispatch, before a withdrawal in another socket was heard, and a withdrawal stood behind other lines of its client.

Change: the module is told of clients that ended their side (clients_left): such a task is not sent any more, bounced at once if it never was, and waited for without a further try if a hop is out. What waits for a connection is never written (keep_back). The loop's callbacks only collect; each turn looks through all that clients sent (glance), then the list, signals, new connections and engines, then lines. The planned end looks at all sockets and the kernel's queue before it, shuts the writing side and reads out; so does a connection closed to a client with something unread. A whole list that leaves an engine out takes back what waits for it. The bulletin's socket is read before it is called silent or dropped; a dial has 1 s. A configuration that makes no sense at SIGHUP is looked at again for 3 s, another router's is refused, what waits for a restart is named.

--- a/crates/explorer/src/house.rs
+++ b/crates/explorer/src/house.rs
@@ -197,7 +197,7 @@
 /// The laws of the house: names, words, and what breaks them.
 pub struct Law(pub &'static str, pub &'static str, fn(&Home, &Act) -> bool);
 
-pub const LAWS: [Law; 7] = [
+pub const LAWS: [Law; 8] = [
     Law("one line", "no request is answered by two lines, and none by a line of another", second_line),
     Law(
         "a line in time",
@@ -207,6 +207,7 @@
     Law("an engine's own result", "a result is what an engine answered to that request", foreign_result),
     Law("runs once", "a single-use request comes to an engine again only if it was shed before", runs_again),
     Law("no call for nobody", "nothing is sent for a request that was answered or withdrawn", for_nobody),
+    Law("no call for one that left", "nothing is sent once its client has ended its side", for_one_that_left),
     Law("own fault", "what a client does closes no other client's connection", closes_another),
     Law("an empty house", "at rest there is no client, task, hop, connection or deadline", keeps),
 ];
@@ -242,6 +243,11 @@
     home.open_as(*req).is_none()
 }
 
+fn for_one_that_left(home: &Home, act: &Act) -> bool {
+    let Act::Comes { req } = act else { return false };
+    home.open_as(*req).is_some_and(|at| home.seats[home.asked[at].client].shut)
+}
+
 fn closes_another(_: &Home, act: &Act) -> bool {
     matches!(act, Act::Closes { client, by } if client != by)
 }
@@ -383,6 +389,7 @@
     fn hear(&mut self, client: usize, mut came: Came) {
         let slot = self.seats[client].slot;
         let now = self.front.floor.works.now();
+        self.front.glance(now, [(slot, &mut came)]);
         while self.front.hear(slot, now, &mut came, || false) {}
     }
 
--- a/crates/explorer/src/life.rs
+++ b/crates/explorer/src/life.rs
@@ -433,7 +433,7 @@
             Move::Leave { task, .. } => {
                 life.left += 1;
                 life.tasks[task].answer = Some(Answer::Left);
-                life.router.client_left(now, task as TaskId, &mut acts);
+                life.router.clients_left(now, &[task as TaskId], &[], &mut acts);
             }
             Move::Wake { .. } => {
                 life.wakes.retain(|at| *at > now);
--- a/crates/explorer/src/mutants.rs
+++ b/crates/explorer/src/mutants.rs
@@ -112,11 +112,7 @@
         "engine.gone && !seen(**id)",
         "engine.gone && !seen(**id) && seen(**id)",
     ),
-    logic(
-        "a client that left is not noted",
-        "self.tasks.entry(id).and_modify(|task| task.over = true);",
-        "let _ = id;",
-    ),
+    logic("a client that left is not noted", "if over { task.over = true }", "if over { let _ = id; }"),
     logic(
         "the end of the process is not heeded",
         "soon >= router.closing || task.held() && hopeless()",
@@ -179,14 +175,26 @@
     Mutant {
         name: "a client that left is still waited for",
         file: FRONT,
-        from: "        for task in client.open.into_values() {\n            self.withdraw(now, task);\n        }",
-        to: "        let _ = (now, client.open);",
+        from: "        let open = self.part(slot, why);\n        if !open.is_empty() {\n            self.clients_left(open, Vec::new());\n        }",
+        to: "        self.part(slot, why);",
     },
     Mutant {
         name: "a withdrawal that is not told",
         file: FRONT,
-        from: "            self.router.client_left(now, number, &mut self.floor);\n",
-        to: "            let _ = now;\n",
+        from: "        self.router.clients_left(now, &withdrawn, &left, &mut self.floor);\n",
+        to: "        self.router.clients_left(now, &[], &left, &mut self.floor);\n",
+    },
+    Mutant {
+        name: "a client that ended its side is sent for",
+        file: FRONT,
+        from: "        self.router.clients_left(now, &withdrawn, &left, &mut self.floor);\n",
+        to: "        self.router.clients_left(now, &withdrawn, &[], &mut self.floor);\n",
+    },
+    Mutant {
+        name: "what waits for a connection is sent for a client that ended its side",
+        file: FRONT,
+        from: "            hops.into_iter().for_each(|hop| self.floor.engines.keep_back(hop, &mut self.floor.works));\n",
+        to: "            drop(hops);\n",
     },
     Mutant {
         name: "the module hears of no end",
@@ -197,8 +205,8 @@
     Mutant {
         name: "leaves with tasks open",
         file: FRONT,
-        from: "let done = floor.tasks.is_empty() && ",
-        to: "let done = ",
+        from: "        tasks.is_empty() && clients",
+        to: "        let _ = tasks;\n        clients",
     },
     Mutant {
         name: "silent clients are kept",
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -1,6 +1,6 @@
 //! Connections of clients: lines in, answers out, and the tasks open on each.
 
-use crate::jsonrpc;
+use crate::jsonrpc::{self, Withdrawal};
 use crate::ring::{Filled, Ring};
 use crate::slots::{Slot, Slots};
 use emberflow::TaskId;
@@ -24,8 +24,10 @@
 pub struct Client {
     input: Ring,
     pub output: Ring,
-    /// Bytes at the front of the input that hold no line's end.
+    /// Bytes at the front of the input that hold no line's end; those that were looked through for what tells
+    /// that it has stopped waiting.
     scanned: usize,
+    glanced: usize,
     /// By the id on this connection.
     pub open: BTreeMap<u64, TaskId>,
     /// It has said something.
@@ -38,11 +40,19 @@
     pub due: Duration,
     /// Nothing more is taken from it; it closes once all is answered.
     deaf: bool,
-    /// Nothing more will come from it.
+    /// Nothing more will come from it, and all that came was heard.
     shut: bool,
+    /// When its input was seen to end, which may be before all that came was heard.
+    ended: Option<Duration>,
 }
 
 impl Client {
+    /// Takes out what was heard at the front of the input.
+    fn pass(&mut self, length: usize) {
+        self.input.consume(length);
+        self.glanced = self.glanced.saturating_sub(length);
+    }
+
     /// Nothing more is taken from it.
     fn is_read_out(&self) -> bool {
         self.deaf || self.shut
@@ -66,10 +76,22 @@
     TooLong,
     /// Read and thrown away.
     Passed,
+    /// It has ended its side, once all that came was heard.
+    Ended,
     Nothing,
     Closed,
 }
 
+/// What a look ahead of a client's turn has told.
+#[derive(Default)]
+pub struct Glance {
+    /// What it does not wait for any more.
+    pub withdrawn: Vec<Withdrawal>,
+    /// Its connection is over, or it has ended its side.
+    pub closed: bool,
+    pub ended: bool,
+}
+
 #[derive(Clone, Default)]
 pub struct Clients {
     pub table: Slots<Client>,
@@ -97,6 +119,7 @@
             input,
             output,
             scanned: 0,
+            glanced: 0,
             open,
             heard: false,
             active: now,
@@ -104,6 +127,7 @@
             due,
             deaf: false,
             shut: false,
+            ended: None,
         });
         due
     }
@@ -159,7 +183,7 @@
                 return if failed() { Heard::Closed } else { Heard::Nothing };
             }
             if client.deaf {
-                client.input.consume(client.input.len());
+                client.pass(client.input.len());
                 match client.input.fill(from, most) {
                     Ok(Filled::Enough) => return Heard::Passed,
                     Ok(Filled::Drained) => return Heard::Nothing,
@@ -167,11 +191,11 @@
                     Err(_) => return Heard::Closed,
                 }
                 self.ending.push(slot);
-                continue;
+                return Heard::Ended;
             }
             if let Some((line, length)) = jsonrpc::line(client.input.readable(), client.scanned) {
                 let line = line.to_vec();
-                client.input.consume(length);
+                client.pass(length);
                 (client.scanned, client.active, client.heard) = (0, now, true);
                 return Heard::Line(line, client.came);
             }
@@ -193,12 +217,50 @@
                 Ok(Filled::Closed) => {
                     client.shut = true;
                     self.ending.push(slot);
+                    return Heard::Ended;
                 }
                 Ok(_) => return Heard::Nothing,
             }
         }
     }
 
+    /// Looks ahead through what has come from a client with tasks open, before its turn: whether it has stopped
+    /// waiting for some, or is gone. Guards against tasks that were sent on for nobody while that stood unread
+    /// behind other lines, floods of others or its own unread answers.
+    pub fn glance(&mut self, slot: Slot, (now, since): (Duration, Duration), from: &mut impl Read) -> Glance {
+        let mut seen = Glance::default();
+        let most = self.most_bytes;
+        let Some(client) = self.table.get_mut(slot).filter(|client| !client.shut) else { return seen };
+        if client.open.is_empty() {
+            return seen;
+        }
+        let before = client.input.len();
+        match client.input.fill(from, most) {
+            Ok(Filled::Closed) => seen.ended = client.ended.replace(now).is_none(),
+            Ok(_) => {}
+            Err(_) => seen.closed = true,
+        }
+        if client.input.len() > before {
+            client.came = since;
+            if before == 0 && client.heard {
+                client.active = now;
+            }
+        }
+        let glanced = if client.deaf { client.input.len() } else { client.glanced };
+        let rest = &client.input.readable()[glanced..];
+        let whole = rest.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
+        let lines = rest[..whole].split(|byte| *byte == b'\n');
+        seen.withdrawn.extend(lines.filter_map(jsonrpc::withdrawn));
+        client.glanced = glanced + whole;
+        seen
+    }
+
+    /// Whether a client's input was seen to end longer ago than what crosses an end may take.
+    pub fn has_left(&self, slot: Slot, now: Duration) -> bool {
+        let ended = self.table.get(slot).and_then(|client| client.ended);
+        ended.is_some_and(|at| at + CROSSING < now)
+    }
+
     pub fn say(&mut self, slot: Slot, line: &[u8]) {
         let Some(client) = self.table.get_mut(slot) else { return };
         self.owed += line.len();
@@ -244,6 +306,8 @@
             // Who has been idle for long enough is idle, however long.
             let active = client.active.max(now.saturating_sub(IDLE));
             (client.heard, since(active), since(client.due), client.deaf, client.shut).hash(into);
+            let ended = client.ended.map(|at| since(at.max(now.saturating_sub(CROSSING * 2))));
+            (client.glanced, ended.filter(|_| !client.shut)).hash(into);
             (!client.input.is_empty()).then(|| since(client.came)).hash(into);
         }
     }
--- a/crates/router/src/deadlines.rs
+++ b/crates/router/src/deadlines.rs
@@ -24,6 +24,10 @@
     Admit,
     /// A planned restart may end.
     Leave,
+    /// A configuration that could not be read is read again.
+    Reload,
+    /// A connection that was closed to a client is read no longer.
+    Part(Slot),
     /// Something changes among the tasks that wait for their team's turn.
     Door,
 }
--- a/crates/router/src/door.rs
+++ b/crates/router/src/door.rs
@@ -121,6 +121,11 @@
         self.bills.insert(task, work);
     }
 
+    /// Whether a task waits here.
+    pub fn holds(&self, task: TaskId) -> bool {
+        self.waiting.contains_key(&task)
+    }
+
     /// A task has had its final answer, or is owed none any more.
     pub fn closed(&mut self, now: Duration, task: TaskId, how: &str) {
         let bill = self.bills.remove(&task);
--- a/crates/router/src/edge.rs
+++ b/crates/router/src/edge.rs
@@ -16,9 +16,9 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use std::collections::BTreeMap;
-use std::io::{self, Write};
-use std::net::TcpListener;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,6 +28,12 @@
 /// failure.
 const SILENCE: Duration = Duration::from_millis(2500);
 const AGAIN: Duration = Duration::from_millis(200);
+/// What the bulletin has to tell counts as told 4 s after it stopped: a connection that has not come up within this
+/// leaves time for another.
+const COMES_UP: Duration = Duration::from_secs(1);
+/// A configuration that makes no sense at SIGHUP may still be being written for so long: what the bulletin has to
+/// tell counts as told 4 s after.
+const WRITTEN: Duration = Duration::from_secs(3);
 
 pub struct Edge {
     front: Front,
@@ -36,17 +42,27 @@
     clients: BTreeMap<Slot, Wire<Edge>>,
     links: BTreeMap<Slot, Wire<Edge>>,
     bulletin: Option<Wire<Edge>>,
-    /// Clients that may have something to say, and connections to engines that have more than one turn took.
+    /// Connections closed to clients, of which something may stand unread.
+    parting: BTreeMap<Slot, Wire<Edge>>,
+    /// Clients that may have something to say, and connections to engines that have something to be read.
     unheard: Ready,
-    unread: Vec<Slot>,
+    unread: BTreeSet<Slot>,
+    /// What else the sockets and signals told that was not looked at yet: clients that have said something or
+    /// left, the bulletin, connections that wait to be accepted.
+    glances: Vec<Slot>,
+    told: bool,
+    knocks: bool,
+    signals: Vec<Signal>,
     /// When the sockets were last looked at, how long the work took that came before, and whether they are being
     /// looked at.
     looked: Duration,
     work: Duration,
     looking: bool,
     door: RegistrationToken,
-    /// Reads the configuration.
+    listener: Rc<TcpListener>,
+    /// Reads the configuration; and if it made no sense, when it is read again, and when for the last time.
     read: Box<dyn Fn() -> Result<Briefing, String>>,
+    again: Option<(Duration, Duration)>,
 }
 
 impl Edge {
@@ -59,7 +75,8 @@
         let ear = event_loop.handle();
         let stops = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
             .map_err(|e| fault("signals", &e))?;
-        let heard = |event: calloop::signals::Event, _: &mut (), edge: &mut Self| edge.signal(event.signal());
+        let heard =
+            |event: calloop::signals::Event, _: &mut (), edge: &mut Self| edge.signals.push(event.signal());
         ear.insert_source(stops, heard).map_err(|e| fault("signals", &e))?;
         let listener = listen(premises.listen, premises.descriptors);
         let listener = listener.map_err(|e| fault(&format!("listening on {}", premises.listen), &e))?;
@@ -67,7 +84,10 @@
         log::info!("{} listens on {address}", premises.name);
         let listener = Rc::new(listener);
         let source = Generic::new(Rc::clone(&listener), Interest::READ, Mode::Level);
-        let admits = move |_, _: &mut _, edge: &mut Self| Ok(edge.admit(&listener));
+        let admits = |_, _: &mut _, edge: &mut Self| {
+            edge.knocks = true;
+            Ok(PostAction::Continue)
+        };
         let door = ear.insert_source(source, admits).map_err(|e| fault("listening", &e))?;
         let clock = Clock::starting(briefing.duties.warm_up);
         let works = Works { now: clock.now(), zero: clock.zero(), ..Works::default() };
@@ -78,13 +98,20 @@
             clients: BTreeMap::new(),
             links: BTreeMap::new(),
             bulletin: None,
+            parting: BTreeMap::new(),
             unheard: Ready::default(),
-            unread: Vec::new(),
+            unread: BTreeSet::new(),
+            glances: Vec::new(),
+            told: false,
+            knocks: false,
+            signals: Vec::new(),
             looked: Duration::ZERO,
             work: Duration::ZERO,
             looking: false,
             door,
+            listener,
             read: Box::new(read),
+            again: None,
         };
         edge.looked = edge.clock.now();
         edge.dial_bulletin();
@@ -97,6 +124,7 @@
             edge.has_looked();
             edge.turn();
         }
+        edge.take_leave(&mut event_loop);
         log::info!("counters at exit: {}", edge.front.floor.tally());
         // Guards against a signal told again while the process ends, which would end it as failed: what takes
         // signals stays until the end.
@@ -123,10 +151,21 @@
         self.looked.saturating_sub(self.work)
     }
 
-    /// What follows the sockets in each turn of the loop. Guards against floods of clients' lines: before each,
-    /// what falls due is done, a line that is known of waits for one of each other client at most, and all sockets
-    /// are looked at again after `LINES`.
+    /// What follows the sockets in each turn of the loop, in this order whatever the order it came in: who has left
+    /// is known before there is room, and what drains before anything is sent. Guards against floods of clients'
+    /// lines: before each, what falls due is done, a line that is known of waits for one of each other client at
+    /// most, and all sockets are looked at again after `LINES`.
     fn turn(&mut self) {
+        self.glance();
+        if std::mem::take(&mut self.told) {
+            self.bulletin_ready();
+        }
+        for signal in std::mem::take(&mut self.signals) {
+            self.signal(signal);
+        }
+        if std::mem::take(&mut self.knocks) {
+            self.admit();
+        }
         for slot in std::mem::take(&mut self.unread) {
             self.link_ready(slot);
         }
@@ -155,9 +194,12 @@
                 }
                 Due::Link(slot) => self.link_ready(slot),
                 Due::Whole(slot) => self.read_link(slot),
-                Due::Bulletin => self.dial_bulletin(),
+                Due::Bulletin => self.await_bulletin(),
                 Due::Admit => self.open_the_door(),
-                Due::Wake | Due::Idle(_) | Due::Leave | Due::Door => {}
+                Due::Leave => self.look_around(),
+                Due::Reload => self.reload(),
+                Due::Part(slot) => drop(self.parting.remove(&slot)),
+                Due::Wake | Due::Idle(_) | Due::Door => {}
             }
             self.front.due(due);
             self.carry_out();
@@ -180,7 +222,7 @@
                 match ask {
                     Ask::Close(slot) => drop(self.links.remove(&slot)),
                     Ask::Dial(slot, to) => {
-                        match Wire::dial(&self.ear, to, move |edge: &mut Self| edge.link_ready(slot)) {
+                        match Wire::dial(&self.ear, to, move |edge: &mut Self| edge.link_told(slot)) {
                             Ok(wire) => drop(self.links.insert(slot, wire)),
                             Err(error) => {
                                 log::info!("no connection to {to}: {error}");
@@ -201,14 +243,13 @@
                 // What its socket does not take at once is lost with it.
                 if let Some(wire) = self.clients.remove(&slot) {
                     let _ = words.drain(&mut &*wire.socket);
-                    if log::log_enabled!(log::Level::Debug) {
-                        let unread = wire.socket.peek(&mut [0; 4096]).unwrap_or_default();
-                        let unsaid = words.len();
-                        if unread + unsaid > 0 {
-                            log::debug!(
-                                "client {slot:?}: {unsaid} bytes not said, {unread} or more not read"
-                            );
-                        }
+                    let unread = wire.socket.peek(&mut [0; 4096]).unwrap_or_default();
+                    let unsaid = words.len();
+                    if unread + unsaid > 0 {
+                        log::debug!("client {slot:?}: {unsaid} bytes not said, {unread} or more not read");
+                    }
+                    if unread > 0 {
+                        self.part(slot, wire);
                     }
                 }
             }
@@ -217,9 +258,31 @@
 
     // ---- clients ----
 
+    /// Reads on for a little from a connection that is closed to its client. Guards against answers lost: a socket
+    /// that is closed with something unread is reset, and takes what was said last with it.
+    fn part(&mut self, slot: Slot, wire: Wire<Self>) {
+        let full = self.parting.len() >= self.front.floor.premises.most_parting();
+        if full || wire.socket.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let works = self.front.works();
+        works.counters.count("clients_read_out");
+        works.deadlines.set(works.now() + CROSSING, Due::Part(slot));
+        self.parting.insert(slot, wire);
+        self.read_out(slot);
+    }
+
+    /// Throws away what has come on a connection that is closed to its client.
+    fn read_out(&mut self, slot: Slot) {
+        if self.parting.get(&slot).is_some_and(|wire| is_read_out(&wire.socket)) {
+            self.parting.remove(&slot);
+        }
+    }
+
     /// Takes new connections in. Where there is no room, the one that has been idle longest makes some;
     /// where none is, new ones wait a little with the kernel.
-    fn admit(&mut self, listener: &TcpListener) -> PostAction {
+    fn admit(&mut self) {
+        let listener = Rc::clone(&self.listener);
         loop {
             self.look_at_the_clock();
             let idle = if self.is_full() { self.idlest() } else { None };
@@ -233,12 +296,12 @@
                     }
                     let floor = &mut self.front.floor;
                     let slot = floor.clients.table.next();
-                    match Wire::attend(&self.ear, socket, move |edge: &mut Self| edge.client_ready(slot)) {
+                    match Wire::attend(&self.ear, socket, move |edge: &mut Self| edge.client_told(slot)) {
                         Ok(wire) => {
                             let slot = self.front.admit();
                             log::debug!("client {slot:?} from {from}");
                             self.clients.insert(slot, wire);
-                            self.client_ready(slot);
+                            self.client_told(slot);
                         }
                         Err(error) => {
                             floor.works.counters.count("clients_not_admitted");
@@ -246,7 +309,7 @@
                         }
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return PostAction::Continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
                 Err(error) => {
@@ -291,16 +354,32 @@
         }
     }
 
-    fn pause(&mut self) -> PostAction {
+    fn pause(&mut self) {
         let works = self.front.works();
         works.counters.count("accepts_paused");
         works.deadlines.set(works.now() + CROSSING, Due::Admit);
-        PostAction::Disable
+        if let Err(error) = self.ear.disable(&self.door) {
+            log::warn!("accepting can't pause: {error}");
+        }
     }
 
-    fn client_ready(&mut self, slot: Slot) {
+    fn client_told(&mut self, slot: Slot) {
         self.has_looked();
+        if self.parting.contains_key(&slot) {
+            return self.read_out(slot);
+        }
         self.unheard.add(slot, self.since());
+        self.glances.push(slot);
+    }
+
+    /// Looks at all that clients have said before anything else is done: some may have left.
+    fn glance(&mut self) {
+        self.look_at_the_clock();
+        let slots = std::mem::take(&mut self.glances);
+        let socket = |slot| Some((slot, Reads(Rc::clone(&self.clients.get(&slot)?.socket))));
+        let clients: Vec<_> = slots.into_iter().filter_map(socket).collect();
+        self.front.glance(self.since(), clients);
+        self.carry_out();
     }
 
     /// Hears the next line of a client, which came at `since` at the earliest.
@@ -325,6 +404,10 @@
 
     // ---- engines ----
 
+    fn link_told(&mut self, slot: Slot) {
+        self.unread.insert(slot);
+    }
+
     /// The connection's socket has changed.
     fn link_ready(&mut self, slot: Slot) {
         self.look_at_the_clock();
@@ -360,25 +443,37 @@
         let Some(wire) = self.links.get(&slot) else { return };
         let floor = &mut self.front.floor;
         if floor.engines.read(slot, &mut &*wire.socket, &mut floor.works) {
-            self.unread.push(slot);
+            self.unread.insert(slot);
         }
     }
 
     // ---- the bulletin ----
 
+    /// What the connection before has brought counts yet.
     fn dial_bulletin(&mut self) {
+        if let Err(why) = self.read_bulletin() {
+            log::debug!("bulletin, the connection before: {why}");
+        }
         self.front.bulletin = self.front.bulletin.anew();
         self.front.works().counters.count("bulletin_dialled");
         self.bulletin = None;
-        match Wire::dial(&self.ear, self.front.floor.premises.bulletin, Self::bulletin_ready) {
+        match Wire::dial(&self.ear, self.front.floor.premises.bulletin, |edge: &mut Self| edge.told = true) {
             Ok(wire) => {
                 self.bulletin = Some(wire);
-                self.expect_bulletin(SILENCE);
+                self.expect_bulletin(COMES_UP);
             }
             Err(_) => self.expect_bulletin(AGAIN),
         }
     }
 
+    /// The bulletin has said nothing in time, unless that stands unread: the router may be the one that is late.
+    fn await_bulletin(&mut self) {
+        self.bulletin_ready();
+        if self.front.bulletin.due <= self.front.floor.works.now() {
+            self.dial_bulletin();
+        }
+    }
+
     /// The bulletin is dialled anew unless this is put off in time.
     fn expect_bulletin(&mut self, wait: Duration) {
         let Front { bulletin, floor, .. } = &mut self.front;
@@ -411,6 +506,7 @@
                 let last = self.front.bulletin.last.to_be_bytes();
                 (&*socket).write_all(&last).map_err(|e| e.to_string())?;
                 self.front.bulletin.greeted = true;
+                self.expect_bulletin(SILENCE);
             }
             let input = &mut self.front.bulletin.input;
             let filled = input.fill(&mut &*socket, 2 * bulletin::MOST_BYTES).map_err(|e| e.to_string())?;
@@ -427,19 +523,75 @@
 
     /// The configuration anew: the bulletin's address and the operator's file take effect, all else takes a
     /// restart. Open tasks, connections and what was learned stay. Guards against files that are written wrong
-    /// under load: they change nothing.
+    /// under load, or are another router's: they change nothing. One may still be being written: it is looked at
+    /// again for a while.
     fn reload(&mut self) {
-        match (self.read)() {
+        let briefing = (self.read)().and_then(|briefing| {
+            let ours = briefing.premises.name == self.front.floor.premises.name;
+            let name = &briefing.premises.name;
+            if ours { Ok(briefing) } else { Err(format!("it is the configuration of `{name}`")) }
+        });
+        let before = self.again.take();
+        let works = self.front.works();
+        match briefing {
             Ok(Briefing { premises, orders, .. }) => {
+                works.counters.count("reloads");
+                let changed = self.front.floor.premises.changed(&premises);
+                if !changed.is_empty() {
+                    log::warn!(
+                        "changed in the configuration, but not before a restart: {}",
+                        changed.join(", ")
+                    );
+                }
                 self.front.reorder(orders.teams);
                 log::info!("configuration read anew, bulletin at {}", premises.bulletin);
-                self.front.works().counters.count("reloads");
-                self.front.floor.premises.bulletin = premises.bulletin;
-                self.dial_bulletin();
+                self.dial_bulletin_at(premises.bulletin);
             }
             Err(error) => {
-                log::error!("configuration not read anew, the old one stays: {error}");
-                self.front.works().counters.count("reloads_refused");
+                let (now, last) = (works.now(), before.map(|(_, last)| last));
+                let last = last.unwrap_or_else(|| {
+                    log::error!("configuration not read anew, the old one stays: {error}");
+                    works.counters.count("reloads_refused");
+                    now + WRITTEN
+                });
+                if now < last {
+                    works.deadlines.set(now + AGAIN, Due::Reload);
+                    self.again = Some((now + AGAIN, last));
+                } else {
+                    log::error!("configuration not looked at again: {error}");
+                }
+            }
+        }
+    }
+
+    fn dial_bulletin_at(&mut self, address: SocketAddr) {
+        self.front.floor.premises.bulletin = address;
+        self.dial_bulletin();
+    }
+
+    // ---- the end ----
+
+    /// Before the process may end: nothing that clients have said stands in the sockets, or with the kernel.
+    fn look_around(&mut self) {
+        if self.front.is_done() {
+            self.admit();
+            let since = self.since();
+            for slot in self.clients.keys().copied().collect::<Vec<_>>() {
+                self.hear(slot, since);
+            }
+        }
+        self.front.unheard = !self.unheard.is_empty();
+    }
+
+    /// Nothing is said any more. What crosses that is read out. Guards against answers lost: see `part`.
+    fn take_leave(&mut self, event_loop: &mut EventLoop<'static, Self>) {
+        let end = self.clock.now() + CROSSING;
+        self.clients.retain(|_, wire| wire.socket.shutdown(Shutdown::Write).is_ok());
+        loop {
+            self.clients.retain(|_, wire| !is_read_out(&wire.socket));
+            let left = end.saturating_sub(self.clock.now());
+            if self.clients.is_empty() || left.is_zero() || event_loop.dispatch(left, self).is_err() {
+                return;
             }
         }
     }
@@ -448,10 +600,37 @@
         self.look_at_the_clock();
         log::info!("counters: {}", self.front.floor.tally());
         match signal {
-            Signal::SIGHUP => self.reload(),
+            Signal::SIGHUP => {
+                if let Some((due, _)) = self.again.take() {
+                    self.front.works().deadlines.clear(due, Due::Reload);
+                }
+                self.reload();
+            }
             Signal::SIGUSR1 => {}
             _ => self.front.close(),
         }
         self.carry_out();
     }
 }
+
+/// What a socket brings.
+struct Reads(Rc<TcpStream>);
+
+impl Read for Reads {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        (&*self.0).read(into)
+    }
+}
+
+/// Reads out what has come on a connection, of which a little at once; tells whether nothing more can come.
+fn is_read_out(socket: &TcpStream) -> bool {
+    let (mut socket, mut chunk) = (socket, [0; 4096]);
+    for _ in 0..LINES {
+        match socket.read(&mut chunk) {
+            Ok(0) => return true,
+            Ok(_) => {}
+            Err(e) => return e.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+    false
+}
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -72,6 +72,8 @@
     owing: Vec<Slot>,
     /// It has left a connection that was lost before its call was written.
     moved: bool,
+    /// Its client may be gone: it is written to no other connection.
+    kept_back: bool,
     result: Option<Pages>,
 }
 
@@ -184,6 +186,16 @@
         }
     }
 
+    /// A whole list leaves out what has gone: nothing is sent there any more, nor what waits for a connection.
+    pub fn only(&mut self, rows: &[Row], works: &mut Works) {
+        let left_out = |known: &Engine| known.ready && !rows.iter().any(|row| row.id == known.id);
+        let left_out = self.book.iter_mut().filter(|(_, known)| left_out(known));
+        for engine in left_out.map(|(engine, _)| *engine).collect::<Vec<_>>() {
+            self.hold_back(engine, works);
+            self.book.entry(engine).and_modify(|known| known.ready = false);
+        }
+    }
+
     /// An engine's number, connections and history end.
     pub fn forget(&mut self, engine: EngineId, works: &mut Works) {
         for slot in self.links_of(engine) {
@@ -213,6 +225,16 @@
         }
     }
 
+    /// A hop whose client may be gone: what was not written is never written, and what was goes nowhere else.
+    pub fn keep_back(&mut self, hop: Slot, works: &mut Works) {
+        self.take_out(hop);
+        let Some(row) = self.hops.get_mut(hop) else { return };
+        row.kept_back = true;
+        if row.written.is_none() {
+            self.end(hop, HopEnd::Void, None, works);
+        }
+    }
+
     /// Takes a call out again that stands in front of what its connection has to say, if nothing of it has left.
     fn take_out(&mut self, hop: Slot) -> bool {
         let Some(row) = self.hops.get_mut(hop) else { return false };
@@ -249,6 +271,7 @@
             written: None,
             owing: owing.to_vec(),
             moved: false,
+            kept_back: false,
             result: None,
         });
         works.deadlines.set(call.until, Due::Hop(hop));
@@ -262,7 +285,7 @@
         let Some(hop) = self.hops.get_mut(slot) else { return };
         hop.written = None;
         let (engine, id, owing) = (hop.engine, hop.id.clone(), hop.owing.clone());
-        if !self.book.get(&engine).is_some_and(|known| known.ready) {
+        if hop.kept_back || !self.book.get(&engine).is_some_and(|known| known.ready) {
             return self.end(slot, HopEnd::Void, None, works);
         }
         match self.link_for(engine, &id, &owing, works) {
@@ -777,7 +800,7 @@
             let begun = link.zip(hop.written).map(|(link, from)| link.output.passed() > from);
             let waits = link.map(|link| link.waiting.iter().position(|waits| *waits == slot));
             (hop.task, hop.number, hop.link.and_then(|link| places.get(&link)), begun, waits).hash(into);
-            (since(hop.until), hop.moved, hop.call.is_empty()).hash(into);
+            (since(hop.until), hop.moved, hop.kept_back, hop.call.is_empty()).hash(into);
             hop.owing.iter().filter_map(|link| places.get(link)).for_each(|at| at.hash(into));
             hop.result.as_ref().map(|result| &result.got).hash(into);
         }
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -7,7 +7,7 @@
 use crate::door::{Door, Knock};
 use crate::engines::News;
 use crate::floor::{Floor, Task};
-use crate::jsonrpc::{self, Objection};
+use crate::jsonrpc::{self, Objection, Withdrawal};
 use crate::premises::Briefing;
 use crate::ring::Ring;
 use crate::slots::Slot;
@@ -46,6 +46,8 @@
     pub closed: Vec<(Slot, Ring)>,
     /// When the process ends at the latest, once that is planned.
     leaving: Option<Duration>,
+    /// Whether clients may have said what was not heard yet, as whoever holds the sockets knows.
+    pub unheard: bool,
     pub left: bool,
     /// The longest patience of any traffic type.
     longest: Duration,
@@ -69,6 +71,7 @@
             bulletin: Bulletin::after(last, premises.kinds.len(), premises.locations.len()),
             closed: Vec::new(),
             leaving: None,
+            unheard: false,
             left: false,
             longest,
             door: None,
@@ -127,7 +130,7 @@
             Due::Idle(slot) => engines.link_idle(slot, works),
             Due::Client(slot) => self.client_overdue(slot, now),
             Due::Leave => self.leave(),
-            Due::Bulletin | Due::Admit | Due::Door => {}
+            Due::Bulletin | Due::Admit | Due::Door | Due::Reload | Due::Part(_) => {}
         }
         self.tell();
     }
@@ -206,6 +209,9 @@
             }
             Heard::Passed => {}
             Heard::TooLong => self.object(slot, None, jsonrpc::PARSE, "a line without end"),
+            Heard::Ended => {
+                self.clients_left(Vec::new(), vec![slot]);
+            }
             Heard::Closed => {
                 self.client_gone(slot, "reset or closed by the client");
                 return false;
@@ -227,7 +233,8 @@
         match method.as_str() {
             "status" => self.status(slot, id),
             "withdraw" => {
-                self.withdrawn(slot, id, Fields(&params));
+                let withdrawn = self.named(slot, &jsonrpc::withdrawal(id, Fields(&params)));
+                withdrawn.into_iter().for_each(|task| self.withdraw(task));
                 Ok(())
             }
             _ => self.take(slot, id, (&method, Fields(&params)), waited),
@@ -241,16 +248,49 @@
         Ok(())
     }
 
-    /// A client has stopped waiting for a task, which it names by its `req` or by its id here.
-    fn withdrawn(&mut self, slot: Slot, id: Option<u64>, fields: Fields) {
-        let (req, id) = (fields.text("req").unwrap_or_default(), fields.whole("id").ok().or(id));
-        let Some(client) = self.floor.clients.table.get(slot) else { return };
+    /// The open task that a client names by its `req` or by its id here.
+    fn named(&self, slot: Slot, (req, id): &Withdrawal) -> Option<TaskId> {
         let named = |number: &TaskId| {
-            self.floor.tasks.get(*number).is_some_and(|task| task.req == req || Some(task.id) == id)
+            self.floor.tasks.get(*number).is_some_and(|task| task.req == *req || Some(task.id) == *id)
         };
-        if let Some(task) = client.open.values().copied().find(named) {
-            self.withdraw(self.floor.works.now(), task);
+        self.floor.clients.table.get(slot)?.open.values().copied().find(named)
+    }
+
+    /// What clients have that may have stopped waiting, which came at `since` at the earliest: looked at for all
+    /// of them before anything else is done, and told to the decisions at once.
+    pub fn glance<R: Read>(&mut self, since: Duration, clients: impl IntoIterator<Item = (Slot, R)>) {
+        let now = self.floor.works.now();
+        let (mut withdrawn, mut ended, mut closed) = (Vec::new(), Vec::new(), Vec::new());
+        for (slot, mut from) in clients {
+            let seen = self.floor.clients.glance(slot, (now, since), &mut from);
+            withdrawn.extend(seen.withdrawn.iter().filter_map(|named| self.named(slot, named)));
+            ended.extend(seen.ended.then_some(slot));
+            closed.extend(seen.closed.then_some(slot));
+        }
+        withdrawn
+            .extend(closed.into_iter().flat_map(|slot| self.part(slot, "reset or closed by the client")));
+        if !withdrawn.is_empty() || !ended.is_empty() {
+            self.clients_left(withdrawn, ended);
+        }
+    }
+
+    /// Tasks are owed to nobody any more; clients have ended their side, and may be gone as well. What waits in
+    /// any queue for one of these is bounced, and what is out has its end waited for.
+    fn clients_left(&mut self, mut withdrawn: Vec<TaskId>, ended: Vec<Slot>) {
+        let now = self.floor.works.now();
+        withdrawn.retain(|task| self.floor.close(*task, "tasks_withdrawn").is_some());
+        let open = ended.iter().filter_map(|slot| self.floor.clients.table.get(*slot));
+        let mut left: Vec<TaskId> = open.flat_map(|client| client.open.values().copied()).collect();
+        for task in &left {
+            let hops = self.floor.tasks.get(*task).map(|task| task.hops.clone()).unwrap_or_default();
+            hops.into_iter().for_each(|hop| self.floor.engines.keep_back(hop, &mut self.floor.works));
         }
+        let at_the_door = |task: &TaskId| self.door.as_ref().is_some_and(|door| door.holds(*task));
+        for task in left.extract_if(.., |task| at_the_door(task)) {
+            self.floor.bounce(task, None);
+        }
+        self.router.clients_left(now, &withdrawn, &left, &mut self.floor);
+        self.tell();
     }
 
     fn take(
@@ -290,6 +330,10 @@
         if req.len() != 16 || !req.bytes().all(|b| b.is_ascii_hexdigit()) {
             return Err(wrong("`req` is not 16 hex digits".into()));
         }
+        // Its client ended its side before this line's turn came: nobody may wait for it any more.
+        if self.floor.clients.has_left(slot, now) {
+            return Err((id, jsonrpc::BOUNCED, "its client has left".into()));
+        }
         // Engines tell tasks apart by it alone, whoever asks.
         if self.floor.tasks.holds(req) {
             return invalid(id, "`req` is open already");
@@ -445,11 +489,8 @@
     }
 
     /// No answer is owed any more.
-    fn withdraw(&mut self, now: Duration, number: TaskId) {
-        if self.floor.close(number, "tasks_withdrawn").is_some() {
-            self.router.client_left(now, number, &mut self.floor);
-            self.tell();
-        }
+    fn withdraw(&mut self, number: TaskId) {
+        self.clients_left(vec![number], Vec::new());
     }
 
     fn client_overdue(&mut self, slot: Slot, now: Duration) {
@@ -471,20 +512,28 @@
 
     /// A client's connection ends; what is open on it is owed to nobody any more.
     pub fn client_gone(&mut self, slot: Slot, why: &str) {
-        let Some(client) = self.floor.clients.take(slot) else { return };
+        let open = self.part(slot, why);
+        if !open.is_empty() {
+            self.clients_left(open, Vec::new());
+        }
+    }
+
+    /// Takes a client's connection out; tells what was open on it.
+    fn part(&mut self, slot: Slot, why: &str) -> Vec<TaskId> {
+        let Some(client) = self.floor.clients.take(slot) else { return Vec::new() };
         log::debug!("client {slot:?} over with {}: {why}", client.held());
         self.floor.works.deadlines.clear(client.due, Due::Client(slot));
         self.closed.push((slot, client.output));
-        let now = self.floor.works.now();
-        for task in client.open.into_values() {
-            self.withdraw(now, task);
-        }
+        client.open.into_values().collect()
     }
 
     // ---- engines and their list ----
 
     pub fn listed(&mut self, whole: bool, rows: &[Row]) {
         let Floor { engines, works, .. } = &mut self.floor;
+        if whole {
+            engines.only(rows, works);
+        }
         let listings: Vec<_> = rows.iter().map(|row| engines.listed(row, works)).collect();
         self.floor.serving |= listings.iter().any(|row| row.ready);
         self.floor.works.counters.count("list_events");
@@ -525,11 +574,16 @@
 
     /// Ends once nothing is open, or when SIGKILL may come.
     fn leave(&mut self) {
-        let floor = &mut self.floor;
-        let now = floor.works.now();
-        let done = floor.tasks.is_empty() && floor.clients.all_said() && floor.engines.all_written();
+        let now = self.floor.works.now();
+        let done = self.is_done() && !self.unheard;
         self.left = done || self.leaving.is_some_and(|by| now >= by);
-        floor.works.deadlines.set(now + LOOK, Due::Leave);
+        self.floor.works.deadlines.set(now + LOOK, Due::Leave);
+    }
+
+    /// Whether nothing is owed, as far as clients were heard.
+    pub fn is_done(&self) -> bool {
+        let Floor { tasks, clients, engines, .. } = &self.floor;
+        tasks.is_empty() && clients.all_said() && engines.all_written()
     }
 }
 
--- a/crates/router/src/jsonrpc.rs
+++ b/crates/router/src/jsonrpc.rs
@@ -3,6 +3,7 @@
 use crate::clock::whole_ms;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use emberflow_startup::Fields;
 use emberflow_teams::Wait;
 use serde_json::{Value, json};
 
@@ -46,6 +47,21 @@
     Ok((id, method, params))
 }
 
+/// What a client has stopped waiting for, by its `req` and by its id on the connection.
+pub type Withdrawal = (String, Option<u64>);
+
+pub fn withdrawal(id: Option<u64>, params: Fields) -> Withdrawal {
+    (params.text("req").unwrap_or_default().to_owned(), params.whole("id").ok().or(id))
+}
+
+/// What a line takes back, if it does.
+pub fn withdrawn(line: &[u8]) -> Option<Withdrawal> {
+    const METHOD: &str = "withdraw";
+    line.windows(METHOD.len()).any(|part| part == METHOD.as_bytes()).then_some(())?;
+    let (id, _, params) = request(line).ok().filter(|(_, method, _)| method == METHOD)?;
+    Some(withdrawal(id, Fields(&params)))
+}
+
 pub fn body(text: &str) -> Option<Vec<u8>> {
     STANDARD.decode(text).ok()
 }
--- a/crates/router/src/premises.rs
+++ b/crates/router/src/premises.rs
@@ -5,6 +5,7 @@
 use emberflow_operator::Orders;
 use emberflow_startup::{Fault, Fields, duties, fleet, traffic};
 use serde_json::Value;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -65,6 +66,8 @@
     pub streams: usize,
     pub comes_up: Duration,
     pub idle_close: Duration,
+    /// What tells these settings from others.
+    pub settings: u64,
 }
 
 impl Premises {
@@ -96,6 +99,11 @@
             streams: caps.index("streamsPerConn")?.max(1),
             comes_up: caps.time("connectTimeoutMs")?,
             idle_close: caps.time("idleCloseMs")?,
+            settings: {
+                let mut hasher = DefaultHasher::new();
+                settings.0.to_string().hash(&mut hasher);
+                hasher.finish()
+            },
         })
     }
 
@@ -105,6 +113,23 @@
         self.descriptors / 2
     }
 
+    /// Connections that are closed to their clients and read on for a little: a part of those between.
+    pub fn most_parting(&self) -> usize {
+        self.descriptors / 12
+    }
+
+    /// What stands otherwise in another configuration, of what takes a restart.
+    pub fn changed(&self, other: &Self) -> Vec<&'static str> {
+        let same = [
+            ("`listen`", self.listen == other.listen),
+            ("`limits`", (self.descriptors, self.memory) == (other.descriptors, other.memory)),
+            ("`zones`", self.locations == other.locations),
+            ("`kinds`", self.kinds == other.kinds),
+            ("the settings", self.settings == other.settings),
+        ];
+        same.into_iter().filter(|(_, same)| !same).map(|(what, _)| what).collect()
+    }
+
     pub fn most_links(&self) -> usize {
         self.descriptors / 3
     }
--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -176,7 +176,7 @@
             }
             "CANCELLED_BY_CLIENT" => {
                 if let Some(task) = known("ref")? {
-                    router.client_left(now, task, &mut Writer { who: *who, now, names, reply });
+                    router.clients_left(now, &[task], &[], &mut Writer { who: *who, now, names, reply });
                 }
             }
             "BELL" => router.wake(now, &mut Writer { who: *who, now, names, reply }),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -178,6 +178,7 @@
             target: target.saturating_sub(spent).min(arrived + arrival.patience).min(self.closing),
             patience: (arrived + arrival.patience).min(self.closing),
             over: false,
+            left: false,
             hops: Vec::new(),
         }
     }
@@ -273,8 +274,15 @@
         self.settle(now, out);
     }
 
-    pub fn client_left(&mut self, now: Duration, id: TaskId, out: &mut impl Outlet) {
-        self.tasks.entry(id).and_modify(|task| task.over = true);
+    /// Clients have stopped waiting for some tasks, which are over. Those of others have ended their side and may
+    /// be gone as well: what they asked for is not sent on any more, and what is out has its end waited for.
+    pub fn clients_left(&mut self, now: Duration, over: &[TaskId], ended: &[TaskId], out: &mut impl Outlet) {
+        for (ids, over) in [(over, true), (ended, false)] {
+            for id in ids {
+                let mark = |task: &mut Task| if over { task.over = true } else { task.left = true };
+                self.tasks.entry(*id).and_modify(mark);
+            }
+        }
         self.settle(now, out);
     }
 
@@ -609,7 +617,7 @@
     /// Whether a hop may be taken back to send the task again: allowed and in time; callers keep the budget.
     fn may_move(&self, task: &Task, now: Duration) -> bool {
         let time = seconds(task.patience.saturating_sub(now)) > 2.0 * task.ideal;
-        !task.over && time && self.may_run_again(task, now)
+        !task.over && !task.left && time && self.may_run_again(task, now)
     }
 
     pub(crate) fn chance(&self, engine: EngineId, draw: u64) -> u64 {
@@ -695,12 +703,13 @@
         left.and_then(|id| self.engines.remove(&id)).is_some() || !gone.is_empty()
     }
 
-    /// One final answer before patience ends, or the process, and at once where no further hop is allowed.
+    /// One final answer before patience ends, or the process, and at once where no further hop is allowed, or is
+    /// for nobody any more.
     fn answer_in_time(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
         let hopeless = |router: &Self, task: &Task| {
             let soon = now + router.margin() * 3;
             let again = || router.may_run_again(task, now) && !router.earns_little_late(task, now);
-            let hopeless = || soon >= task.patience || !task.hops.is_empty() && !again();
+            let hopeless = || task.left || soon >= task.patience || !task.hops.is_empty() && !again();
             soon >= router.closing || task.held() && hopeless()
         };
         self.refuse(hopeless, out)
--- a/src/print.rs
+++ b/src/print.rs
@@ -85,7 +85,7 @@
 
     fn task(&self, task: &Task, with: &Print, into: &mut impl Hasher) {
         let now = with.now;
-        (task.traffic, task.group, task.over, task.key).hash(into);
+        (task.traffic, task.group, task.over, task.left && !task.over, task.key).hash(into);
         [task.ideal, task.memory, task.told_cost.unwrap_or(-1.0), task.told_memory.unwrap_or(-1.0)]
             .iter()
             .for_each(|figure| figure.to_bits().hash(into));
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,6 +26,8 @@
     pub target: Duration,
     pub patience: Duration,
     pub over: bool,
+    /// Its client has nothing more to say, and may be gone.
+    pub left: bool,
     pub hops: Vec<Hop>,
 }
 
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -260,7 +260,13 @@
     }
 
     pub fn left(&mut self, task: TaskId) -> &mut Self {
-        self.router.client_left(ms(self.lines.1), task, &mut self.lines);
+        self.router.clients_left(ms(self.lines.1), &[task], &[], &mut self.lines);
+        self
+    }
+
+    /// Their clients have ended their side.
+    pub fn shut(&mut self, tasks: &[TaskId]) -> &mut Self {
+        self.router.clients_left(ms(self.lines.1), &[], tasks, &mut self.lines);
         self
     }
 
