A task is sent again once its engine has heard that its hop was taken back

Ruled out: a connection that came up late (both had long been up), a call of which nothing was written (Void), another router (one log holds the id).

Change: where the settings say mayDuplicate false, a PING under the task's name goes behind the DROP; its answer, or the close of the connection after the time that one may take to come up, ends the hop. The log names connections.

--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -74,6 +74,8 @@
     moved: bool,
     /// Its client may be gone: it is written to no other connection.
     kept_back: bool,
+    /// It was taken back at its engine, which has not shown yet that it has heard of that: its end, and since when.
+    dropped: Option<(HopEnd, Duration)>,
     result: Option<Pages>,
 }
 
@@ -130,6 +132,8 @@
     comes_up: Duration,
     idle_close: Duration,
     most_links: usize,
+    /// Whether a task may be sent again while its engine may not have heard yet that it was taken back.
+    pub may_duplicate: bool,
 }
 
 impl Engines {
@@ -148,6 +152,7 @@
             comes_up,
             idle_close,
             most_links,
+            may_duplicate: true,
         }
     }
 
@@ -272,6 +277,7 @@
             owing: owing.to_vec(),
             moved: false,
             kept_back: false,
+            dropped: None,
             result: None,
         });
         works.deadlines.set(call.until, Due::Hop(hop));
@@ -397,6 +403,12 @@
         }
         if let Some(hop) = self.hops.get_mut(link.waiting.remove(0)) {
             hop.written = Some(link.output.end());
+            log::debug!(
+                "task {} hop {}: on connection {slot:?} to engine {}",
+                hop.task,
+                hop.number,
+                hop.engine
+            );
             link.output.push(&hop.call);
         }
         true
@@ -411,6 +423,7 @@
         let Some(link) = self.links.get_mut(slot) else { return };
         link.up = true;
         link.heard = works.now();
+        log::debug!("engine {}: connection {slot:?} up after {:?}", link.engine, link.heard - link.opened);
         link.due.take().inspect(|at| works.deadlines.clear(*at, Due::Link(slot)));
         self.go_on(slot, works);
     }
@@ -492,6 +505,7 @@
                 self.go_on(slot, works);
             }
             if word == "PONG" {
+                self.has_heard(slot, &id, works);
                 continue;
             }
             match self.links.get(slot).and_then(|link| link.hops.get(&id)).copied() {
@@ -501,6 +515,14 @@
         }
     }
 
+    /// What comes under a task's name behind what took its hop back shows that its engine has given that up, and
+    /// that no answer to it follows.
+    fn has_heard(&mut self, slot: Slot, id: &str, works: &mut Works) {
+        let hop = self.links.get(slot).and_then(|link| link.hops.get(id)).copied();
+        let Some(end) = hop.and_then(|hop| self.hops.get(hop)?.dropped) else { return };
+        hop.into_iter().for_each(|hop| self.end(hop, end.0, None, works));
+    }
+
     fn answer(
         &mut self,
         slot: Slot,
@@ -514,6 +536,13 @@
         let figure =
             |name: &str| text(name).map(|value| number(name, value).map(|value| value.max(0.0))).transpose();
         let signals = text("use").map(signals).transpose()?;
+        // What ended before its engine heard of that is as good as any, if it needs no further pages.
+        let taken_back = hop.dropped.is_some();
+        if taken_back
+            && (word == "INFO" || word == "HIT" && figure("pages")?.is_some_and(|pages| pages > 1.0))
+        {
+            return Ok(());
+        }
         match word {
             // Guards against answers told twice or unasked: they cost nothing else on the connection.
             "HIT" if hop.result.is_some() => {
@@ -652,7 +681,7 @@
             ended.bill,
             ended.signals
         );
-        let given_up = matches!(end, HopEnd::Withdrawn | HopEnd::TimedOut);
+        let given_up = matches!(end, HopEnd::Withdrawn | HopEnd::TimedOut) && hop.dropped.is_none();
         self.news.push_back(News::Ended(ended, body, hop.link.filter(|_| given_up)));
     }
 
@@ -666,7 +695,7 @@
 
     /// A new priority of a hop that is out, behind its call.
     pub fn rank(&mut self, hop: Slot, priority: u8, works: &mut Works) {
-        let Some(row) = self.hops.get_mut(hop) else { return };
+        let Some(row) = self.hops.get_mut(hop).filter(|row| row.dropped.is_none()) else { return };
         let bytes = resp::array(&[b"RANK", row.id.as_bytes(), priority.to_string().as_bytes()]);
         match row.written {
             Some(_) => self.write(hop, &bytes, works),
@@ -678,6 +707,26 @@
         self.abandon(hop, HopEnd::Withdrawn, HopEnd::Void, works);
     }
 
+    /// Takes a hop back, whose task may be sent again. Guards against two hops of a task at engines at once, where
+    /// the settings do not allow that: what gives one up and the next call go over different connections, and may
+    /// come in either order. So its engine has to show first that it has heard, by answering what stands behind
+    /// that on the same connection, or the connection is closed.
+    pub fn take_back(&mut self, hop: Slot, works: &mut Works) {
+        self.take_out(hop);
+        let Some(row) = self.hops.get_mut(hop).filter(|row| row.dropped.is_none()) else { return };
+        let Some(link) =
+            row.link.filter(|_| row.written.is_some() && row.result.is_none() && !self.may_duplicate)
+        else {
+            return self.cancel(hop, works);
+        };
+        row.dropped = Some((HopEnd::Withdrawn, works.now()));
+        let id = row.id.clone().into_bytes();
+        let bytes = [resp::array(&[b"DROP", &id]), resp::array(&[b"PING", &id])].concat();
+        works.counters.count("hops_taken_back");
+        self.write(hop, &bytes, works);
+        self.look_at(link, works.now() + self.comes_up, works);
+    }
+
     /// The connection that a hop is on.
     pub fn link_of(&self, hop: Slot) -> Option<Slot> {
         self.hops.get(hop)?.link
@@ -692,6 +741,9 @@
 
     /// Gives a hop up, at the engine too; what was never written never ran.
     fn abandon(&mut self, slot: Slot, end: HopEnd, unwritten: HopEnd, works: &mut Works) {
+        if self.hops.get(slot).is_some_and(|hop| hop.dropped.is_some()) {
+            return self.end(slot, end, None, works);
+        }
         self.take_out(slot);
         let Some(hop) = self.hops.get(slot) else { return };
         if hop.written.is_none() {
@@ -710,10 +762,14 @@
         };
         link.due = None;
         let next = link.heard + self.comes_up * 2;
+        let hops = || link.hops.values().filter_map(|hop| self.hops.get(*hop)?.dropped);
+        let unheard = hops().any(|(_, since)| since + self.comes_up <= now);
+        let waits = hops().map(|(_, since)| since + self.comes_up).min();
+        let next = waits.map_or(next, |at| at.min(next));
         if !link.up {
             works.counters.count("links_not_up_in_time");
             self.lose(slot, "not up in time", false, works);
-        } else if link.asked {
+        } else if link.asked || unheard {
             // Nothing that it carries can be answered any more.
             works.counters.count("links_silent");
             self.lose(slot, "silent", true, works);
@@ -741,7 +797,7 @@
     pub fn lose(&mut self, slot: Slot, why: &str, there: bool, works: &mut Works) {
         let Some(link) = self.links.take(slot) else { return };
         self.asks.push_back(Ask::Close(slot));
-        log::debug!("engine {}: connection over with {} hops: {why}", link.engine, link.hops.len());
+        log::debug!("engine {}: connection {slot:?} over with {} hops: {why}", link.engine, link.hops.len());
         self.book.entry(link.engine).and_modify(|known| known.links.retain(|other| *other != slot));
         link.due.inspect(|at| works.deadlines.clear(*at, Due::Link(slot)));
         link.whole_by.inspect(|at| works.deadlines.clear(*at, Due::Whole(slot)));
@@ -752,7 +808,9 @@
         for hop in link.hops.into_values() {
             let Some(row) = self.hops.get_mut(hop) else { continue };
             row.link = None;
-            if row.written.is_some_and(|from| link.output.passed() > from) {
+            if let Some((end, _)) = row.dropped {
+                self.end(hop, end, None, works);
+            } else if row.written.is_some_and(|from| link.output.passed() > from) {
                 self.end(hop, HopEnd::Broken, None, works);
             } else if !there || std::mem::replace(&mut row.moved, true) {
                 self.end(hop, HopEnd::Unreachable, None, works);
@@ -801,6 +859,7 @@
             let waits = link.map(|link| link.waiting.iter().position(|waits| *waits == slot));
             (hop.task, hop.number, hop.link.and_then(|link| places.get(&link)), begun, waits).hash(into);
             (since(hop.until), hop.moved, hop.kept_back, hop.call.is_empty()).hash(into);
+            hop.dropped.map(|(_, at)| since(at)).hash(into);
             hop.owing.iter().filter_map(|link| places.get(link)).for_each(|at| at.hash(into));
             hop.result.as_ref().map(|result| &result.got).hash(into);
         }
--- a/crates/router/src/floor.rs
+++ b/crates/router/src/floor.rs
@@ -131,7 +131,7 @@
     }
     fn cancel(&mut self, task: TaskId, hop: usize) {
         if let Some(hop) = self.tasks.get(task).and_then(|task| task.hops.get(hop)).copied() {
-            self.engines.cancel(hop, &mut self.works);
+            self.engines.take_back(hop, &mut self.works);
         }
     }
     fn bounce(&mut self, task: TaskId, come_back: Option<Duration>) {
@@ -160,7 +160,8 @@
     pub fn within(premises: Premises, works: Works) -> Self {
         let clients = Clients::within(premises.most_bytes(), premises.most_held_bytes());
         let Premises { streams, comes_up, idle_close, .. } = premises;
-        let engines = Engines::new(streams, comes_up, idle_close, premises.most_links());
+        let mut engines = Engines::new(streams, comes_up, idle_close, premises.most_links());
+        engines.may_duplicate = premises.may_duplicate;
         Self { clients, engines, works, tasks: Tasks::default(), serving: false, closed: None, premises }
     }
 
--- a/crates/router/src/premises.rs
+++ b/crates/router/src/premises.rs
@@ -66,6 +66,8 @@
     pub streams: usize,
     pub comes_up: Duration,
     pub idle_close: Duration,
+    /// Whether two hops of a task may be out at once, which is not so only where the settings say it.
+    pub may_duplicate: bool,
     /// What tells these settings from others.
     pub settings: u64,
 }
@@ -99,6 +101,7 @@
             streams: caps.index("streamsPerConn")?.max(1),
             comes_up: caps.time("connectTimeoutMs")?,
             idle_close: caps.time("idleCloseMs")?,
+            may_duplicate: caps.maybe("mayDuplicate").is_none_or(|told| told.as_bool() != Some(false)),
             settings: {
                 let mut hasher = DefaultHasher::new();
                 settings.0.to_string().hash(&mut hasher);
--- a/crates/router/tests/sockets/ending.rs
+++ b/crates/router/tests/sockets/ending.rs
@@ -379,3 +379,46 @@
     "#]]
     .assert_eq(&house.end(&["hops_sent", "tasks_given_up"]));
 }
+
+/// Seen where the settings allow no second copy: what took a hop back and the next call went over two connections,
+/// and came in the other order.
+#[test]
+fn a_task_is_sent_again_once_its_engine_has_heard_that_it_was_taken_back() {
+    let apart = settings(400, 60_000).replace("\"mostTries\":3", "\"mostTries\":3,\"mayDuplicate\":false");
+    let mut house = House::open("heard", 1, &apart);
+    let (mut client, mut engine) = (house.client(), house.engine(0));
+    client.ask(1, "lookup", 60_000);
+    engine.takes(&mut house);
+    engine.say(1, "INFO", "detail=stall,v=1", "");
+    house.note(engine.hear()).note(engine.hear());
+    let early = engine.has_within(Duration::from_millis(100));
+    house.note(format!("sent before it has heard: {early}"));
+    engine.say(1, "PONG", "-", "");
+    engine.takes(&mut house);
+    engine.say(1, "INFO", "detail=stall,v=1", "");
+    house.meanwhile(|_| engine.say(1, "HIT", "pages=1", ROWS));
+    house.note(client.hear());
+    // An engine that never shows it has its connection closed first.
+    client.ask(2, "lookup", 60_000);
+    engine.takes(&mut house);
+    engine.say(2, "INFO", "detail=stall,v=1", "");
+    house.note(engine.hear()).note(engine.hear()).note(engine.hear());
+    engine.takes(&mut house);
+    engine.say(2, "HIT", "pages=1", ROWS);
+    house.note(client.hear());
+    expect![[r#"
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        DROP 0000000000000001
+        PING 0000000000000001
+        sent before it has heard: false
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":1,"result":{"data":"YQliCWMK"}}
+        GET 0000000000000002 queue=lookup,mem=120,prio=2 select 1
+        DROP 0000000000000002
+        PING 0000000000000002
+        closed
+        GET 0000000000000002 queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":2,"result":{"data":"YQliCWMK"}}
+        ended with Some(0): hops_taken_back=2 hops_withdrawn=2 links_silent=1
+    "#]].assert_eq(&house.end(&["hops_taken_back", "hops_withdrawn", "links_silent"]));
+}
