--- a/crates/router/tests/sockets/ending.rs
+++ b/crates/router/tests/sockets/ending.rs
@@ -420,5 +420,39 @@
         GET 0000000000000002 queue=lookup,mem=120,prio=2 select 1
         {"jsonrpc":"2.0","id":2,"result":{"data":"YQliCWMK"}}
         ended with Some(0): hops_taken_back=2 hops_withdrawn=2 links_silent=1
-    "#]].assert_eq(&house.end(&["hops_taken_back", "hops_withdrawn", "links_silent"]));
+    "#]]
+    .assert_eq(&house.end(&["hops_taken_back", "hops_withdrawn", "links_silent"]));
+}
+
+/// One team's tasks wait at the door; the client of one shuts its side, and closes.
+#[test]
+fn what_waits_at_the_teams_door_is_bounced_once_its_client_has_left() {
+    const ORDERS: &str = "{teams: {list: [{name: 'audit', share: 1, \
+                          budget: {work_s: 1, per_s: 60, burst_s: 1}}]}}";
+    let mut house = House::open_ordered("door-left", 1, &leisure(), ORDERS);
+    let mut clients: Vec<Client> = (0..3).map(|_| house.client()).collect();
+    let mut engine = house.engine(0);
+    for (client, id) in clients.iter_mut().zip(1..) {
+        client.ask_much("audit", id, 60_000, "");
+        client.say(r#"{"jsonrpc":"2.0","id":99,"method":"status"}"#);
+        client.hear();
+    }
+    let first = engine.takes(&mut house);
+    house.meanwhile(|_| {
+        engine.say(first, "HIT", "pages=1", ROWS);
+        drop(clients.pop());
+        clients[1].0.get_ref().shutdown(Shutdown::Write).expect("it was open");
+    });
+    house
+        .note(clients[0].hear())
+        .note(clients[1].hear())
+        .note(format!("sent then: {:?}", calls(&mut engine)));
+    std::fs::remove_file(house.file.0.with_extension("json5")).expect("its file");
+    expect![[r#"
+        GET 0000000000000001 queue=lookup,mem=6554,prio=2 select 1
+        {"jsonrpc":"2.0","id":1,"result":{"data":"YQliCWMK"}}
+        {"error":{"code":-32011,"message":"bounced: a retry is harmless"},"id":2,"jsonrpc":"2.0"}
+        sent then: []
+        ended with Some(0): tasks_bounced=2 tasks_succeeded=1
+    "#]].assert_eq(&house.end(&["tasks_bounced", "tasks_succeeded", "tasks_withdrawn"]));
 }
