--- a/crates/router/src/edge.rs
+++ b/crates/router/src/edge.rs
@@ -374,6 +374,9 @@
 
     /// Looks at all that clients have said before anything else is done: some may have left.
     fn glance(&mut self) {
+        if self.glances.is_empty() {
+            return;
+        }
         self.look_at_the_clock();
         let slots = std::mem::take(&mut self.glances);
         let socket = |slot| Some((slot, Reads(Rc::clone(&self.clients.get(&slot)?.socket))));
