A connection closed to a client is read out to the end of what has come, a part a turn

Cause: edge.rs, is_read_out, stopped after 64 reads, and as sockets tell of changes only, what still stood there was not read again before the connection was dropped after 50 ms. Ruled out: the answer itself was whole each time.

Change: what took more than one turn is read on in the next; the loop does not wait meanwhile.

--- a/crates/router/src/edge.rs
+++ b/crates/router/src/edge.rs
@@ -44,6 +44,8 @@
     bulletin: Option<Wire<Edge>>,
     /// Connections closed to clients, of which something may stand unread.
     parting: BTreeMap<Slot, Wire<Edge>>,
+    /// Those of them that had more than one turn took.
+    not_read_out: Vec<Slot>,
     /// Clients that may have something to say, and connections to engines that have something to be read.
     unheard: Ready,
     unread: BTreeSet<Slot>,
@@ -99,6 +101,7 @@
             links: BTreeMap::new(),
             bulletin: None,
             parting: BTreeMap::new(),
+            not_read_out: Vec::new(),
             unheard: Ready::default(),
             unread: BTreeSet::new(),
             glances: Vec::new(),
@@ -117,7 +120,7 @@
         edge.dial_bulletin();
         while !edge.front.left {
             let due = edge.front.works().deadlines.first().map(|at| at.saturating_sub(edge.clock.now()));
-            let done = edge.unheard.is_empty() && edge.unread.is_empty();
+            let done = edge.unheard.is_empty() && edge.unread.is_empty() && edge.not_read_out.is_empty();
             let wait = if done { due } else { Some(Duration::ZERO) };
             (edge.work, edge.looking) = (edge.clock.now().saturating_sub(edge.looked), true);
             event_loop.dispatch(wait, &mut edge).map_err(|e| fault("the loop", &e))?;
@@ -157,6 +160,9 @@
     /// most, and all sockets are looked at again after `LINES`.
     fn turn(&mut self) {
         self.glance();
+        for slot in std::mem::take(&mut self.not_read_out) {
+            self.read_out(slot);
+        }
         if std::mem::take(&mut self.told) {
             self.bulletin_ready();
         }
@@ -274,8 +280,10 @@
 
     /// Throws away what has come on a connection that is closed to its client.
     fn read_out(&mut self, slot: Slot) {
-        if self.parting.get(&slot).is_some_and(|wire| is_read_out(&wire.socket)) {
-            self.parting.remove(&slot);
+        match self.parting.get(&slot).map(|wire| read_out(&wire.socket)) {
+            Some(Filled::Enough) => self.not_read_out.push(slot),
+            Some(Filled::Closed) => drop(self.parting.remove(&slot)),
+            Some(Filled::Drained) | None => {}
         }
     }
 
@@ -591,7 +599,7 @@
         let end = self.clock.now() + CROSSING;
         self.clients.retain(|_, wire| wire.socket.shutdown(Shutdown::Write).is_ok());
         loop {
-            self.clients.retain(|_, wire| !is_read_out(&wire.socket));
+            self.clients.retain(|_, wire| read_out(&wire.socket) != Filled::Closed);
             let left = end.saturating_sub(self.clock.now());
             if self.clients.is_empty() || left.is_zero() || event_loop.dispatch(left, self).is_err() {
                 return;
@@ -625,15 +633,16 @@
     }
 }
 
-/// Reads out what has come on a connection, of which a little at once; tells whether nothing more can come.
-fn is_read_out(socket: &TcpStream) -> bool {
+/// Throws away what has come on a connection, of much a part at once.
+fn read_out(socket: &TcpStream) -> Filled {
     let (mut socket, mut chunk) = (socket, [0; 4096]);
     for _ in 0..LINES {
         match socket.read(&mut chunk) {
-            Ok(0) => return true,
+            Ok(0) => return Filled::Closed,
             Ok(_) => {}
-            Err(e) => return e.kind() != io::ErrorKind::WouldBlock,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Filled::Drained,
+            Err(_) => return Filled::Closed,
         }
     }
-    false
+    Filled::Enough
 }
