--- a/crates/router/src/edge.rs
+++ b/crates/router/src/edge.rs
@@ -18,7 +18,7 @@
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -556,7 +556,8 @@
                 }
                 self.front.reorder(orders.teams);
                 log::info!("configuration read anew, bulletin at {}", premises.bulletin);
-                self.dial_bulletin_at(premises.bulletin);
+                self.front.floor.premises.bulletin = premises.bulletin;
+                self.dial_bulletin();
             }
             Err(error) => {
                 let (now, last) = (works.now(), before.map(|(_, last)| last));
@@ -575,11 +576,6 @@
         }
     }
 
-    fn dial_bulletin_at(&mut self, address: SocketAddr) {
-        self.front.floor.premises.bulletin = address;
-        self.dial_bulletin();
-    }
-
     // ---- the end ----
 
     /// Before the process may end: nothing that clients have said stands in the sockets, or with the kernel.
@@ -597,6 +593,8 @@
     /// Nothing is said any more. What crosses that is read out. Guards against answers lost: see `part`.
     fn take_leave(&mut self, event_loop: &mut EventLoop<'static, Self>) {
         let end = self.clock.now() + CROSSING;
+        // Connections that still come are not waited for.
+        let _ = self.ear.disable(&self.door);
         self.clients.retain(|_, wire| wire.socket.shutdown(Shutdown::Write).is_ok());
         loop {
             self.clients.retain(|_, wire| read_out(&wire.socket) != Filled::Closed);
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -194,7 +194,7 @@
     /// A whole list leaves out what has gone: nothing is sent there any more, nor what waits for a connection.
     pub fn only(&mut self, rows: &[Row], works: &mut Works) {
         let left_out = |known: &Engine| known.ready && !rows.iter().any(|row| row.id == known.id);
-        let left_out = self.book.iter_mut().filter(|(_, known)| left_out(known));
+        let left_out = self.book.iter().filter(|(_, known)| left_out(known));
         for engine in left_out.map(|(engine, _)| *engine).collect::<Vec<_>>() {
             self.hold_back(engine, works);
             self.book.entry(engine).and_modify(|known| known.ready = false);
@@ -518,9 +518,10 @@
     /// What comes under a task's name behind what took its hop back shows that its engine has given that up, and
     /// that no answer to it follows.
     fn has_heard(&mut self, slot: Slot, id: &str, works: &mut Works) {
-        let hop = self.links.get(slot).and_then(|link| link.hops.get(id)).copied();
-        let Some(end) = hop.and_then(|hop| self.hops.get(hop)?.dropped) else { return };
-        hop.into_iter().for_each(|hop| self.end(hop, end.0, None, works));
+        let Some(hop) = self.links.get(slot).and_then(|link| link.hops.get(id)).copied() else { return };
+        if let Some((end, _)) = self.hops.get(hop).and_then(|row| row.dropped) {
+            self.end(hop, end, None, works);
+        }
     }
 
     fn answer(
--- a/crates/router/tests/sockets/ending.rs
+++ b/crates/router/tests/sockets/ending.rs
@@ -27,6 +27,12 @@
     ));
 }
 
+/// All that a client has said was heard once this returns.
+fn is_heard(client: &mut Client) {
+    client.say(r#"{"jsonrpc":"2.0","id":99,"method":"status"}"#);
+    client.hear();
+}
+
 /// Settings under which what is held stays so for long.
 fn leisure() -> String {
     settings(5000, 60_000).replace("2000.0", "40000.0")
@@ -57,8 +63,7 @@
     engine.takes(&mut house);
     for (client, id) in clients[1..].iter_mut().zip(2..) {
         fill(client, id);
-        client.say(r#"{"jsonrpc":"2.0","id":99,"method":"status"}"#);
-        client.hear();
+        is_heard(client);
     }
     let mut last = house.client();
     let mut shut = house.meanwhile(|_| {
@@ -180,8 +185,7 @@
     fill(&mut client, 1);
     engine.takes(&mut house);
     fill(&mut client, 2);
-    client.say(r#"{"jsonrpc":"2.0","id":9,"method":"status"}"#);
-    client.hear();
+    is_heard(&mut client);
     house.meanwhile(|_| {
         engine.say(1, "HIT", "pages=1", ROWS);
         bulletin.write_all(&changes(2, &[(0, address, 1, 0)])).expect("it reads");
@@ -202,8 +206,7 @@
 fn a_planned_end_leaves_nothing_in_the_sockets_or_with_the_kernel() {
     let mut house = House::open("last", 1, &settings(5000, 8000));
     let (mut known, mut client, mut engine) = (house.client(), house.client(), house.engine(0));
-    known.say(r#"{"jsonrpc":"2.0","id":1,"method":"status"}"#);
-    known.hear();
+    is_heard(&mut known);
     client.ask(1, "lookup", 8000);
     engine.takes(&mut house);
     house.signal("-TERM");
@@ -435,8 +438,7 @@
     let mut engine = house.engine(0);
     for (client, id) in clients.iter_mut().zip(1..) {
         client.ask_much("audit", id, 60_000, "");
-        client.say(r#"{"jsonrpc":"2.0","id":99,"method":"status"}"#);
-        client.hear();
+        is_heard(client);
     }
     let first = engine.takes(&mut house);
     house.meanwhile(|_| {
