--- a/crates/explorer/src/mutants.rs
+++ b/crates/explorer/src/mutants.rs
@@ -175,8 +175,8 @@
     Mutant {
         name: "a client that left is still waited for",
         file: FRONT,
-        from: "        let open = self.part(slot, why);\n        if !open.is_empty() {\n            self.clients_left(open, Vec::new());\n        }",
-        to: "        self.part(slot, why);",
+        from: "        client.open.into_values().collect()",
+        to: "        drop(client.open);\n        Vec::new()",
     },
     Mutant {
         name: "a withdrawal that is not told",
