Probes and tasks in flight reach the module; a load report is read in one place

Need: on the new deployments load is told as tasks in flight (rif), or only by probes; the wirehost dropped both, and the router's codec read a report by rules of its own. Change: Outlet::probe and Router::probed, Signals::in_flight, Fleet::probes_tell, Duties::may_probe (never on sockets, where a ping tells only that a connection works); emberflow_startup::load reads a report for both programs. No decision uses them yet.

--- a/crates/explorer/src/life.rs
+++ b/crates/explorer/src/life.rs
@@ -26,6 +26,7 @@
     GiveUp { task: TaskId },
     Wake { wait: Duration },
     Watch,
+    Probe { engine: EngineId },
     Forget { engine: EngineId },
     Serve { task: TaskId },
     Pass { to: Duration },
@@ -59,6 +60,9 @@
     fn give_up(&mut self, task: TaskId) {
         self.note(Act::GiveUp { task });
     }
+    fn probe(&mut self, engine: EngineId) {
+        self.note(Act::Probe { engine });
+    }
     fn wake_after(&mut self, wait: Duration) {
         self.note(Act::Wake { wait });
     }
@@ -512,7 +516,7 @@
                 }
                 Act::Watch => self.watched = true,
                 Act::Forget { engine } => self.sites[engine].forgotten = true,
-                Act::Serve { .. } | Act::Pass { .. } | Act::Rest => {}
+                Act::Probe { .. } | Act::Serve { .. } | Act::Pass { .. } | Act::Rest => {}
             }
         }
     }
--- a/crates/explorer/src/places.rs
+++ b/crates/explorer/src/places.rs
@@ -18,7 +18,8 @@
 /// Two in one cell, one in another cell and location.
 const CELLS: &[(usize, u64)] = &[(0, 0), (0, 0), (1, 1)];
 const TWO: &[(usize, u64)] = &[(0, 0), (0, 0)];
-const SIGNALS: Signals = Signals { busy: Some(1.0), waiting: None, memory: Some(0.5), disks: None };
+const SIGNALS: Signals =
+    Signals { busy: Some(1.0), in_flight: None, waiting: None, memory: Some(0.5), disks: None };
 
 pub const PLACES: &[Place] = &[
     Place {
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -8,7 +8,7 @@
 use crate::slots::{Slot, Slots};
 use crate::works::Works;
 use emberflow::{Bill, Ended, EngineId, HopEnd, Listing, Notice, Signals, TaskId};
-use emberflow_startup::from_ms;
+use emberflow_startup::{from_ms, load};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{Hash, Hasher};
@@ -871,17 +871,11 @@
     }
 }
 
-/// The load that an answer reports, by the names of the settings or those of the pages.
-fn signals(load: &str) -> Result<Signals, String> {
-    let figure = |names: &[&str]| {
-        let found = names.iter().find_map(|name| Some((*name, resp::field(load, name, (';', ':'))?)));
+/// The load that an answer reports.
+fn signals(text: &str) -> Result<Signals, String> {
+    load(|names| {
+        let found = names.iter().find_map(|name| Some((*name, resp::field(text, name, (';', ':'))?)));
         found.map(|(name, value)| number(name, value)).transpose()
-    };
-    Ok(Signals {
-        busy: figure(&["busy", "util"])?,
-        waiting: figure(&["q", "queue"])?,
-        memory: figure(&["x0"])?,
-        disks: figure(&["x1"])?,
     })
 }
 
--- a/crates/router/src/floor.rs
+++ b/crates/router/src/floor.rs
@@ -145,6 +145,8 @@
         let answered = self.answer(task, "tasks_given_up", line);
         self.works.counters.must(answered, "a_second_answer");
     }
+    /// Never asked for here.
+    fn probe(&mut self, _: EngineId) {}
     fn wake_after(&mut self, wait: Duration) {
         self.works.deadlines.set(self.works.now() + wait, Due::Wake);
     }
--- a/crates/router/src/premises.rs
+++ b/crates/router/src/premises.rs
@@ -31,7 +31,8 @@
         Ok(Self {
             fleet,
             traffic,
-            duties: duties(settings)?,
+            // On sockets a probe tells only that a connection works.
+            duties: Duties { may_probe: false, ..duties(settings)? },
             last,
             events,
             premises,
--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -4,7 +4,7 @@
 
 pub use fields::{Fault, Fields, from_ms, to_ms};
 
-use emberflow::{Duties, Effect, Fleet, HopBudget, Kind, Scope, TrafficType};
+use emberflow::{Duties, Effect, Fleet, HopBudget, Kind, Scope, Signals, TrafficType};
 use serde_json::Value;
 
 /// The names of the load signals that answers hold, in their order.
@@ -16,6 +16,17 @@
     })
 }
 
+/// A load report, read by what asks for a figure under either of its names: the settings' and the pages'.
+pub fn load<E>(figure: impl Fn(&[&str]) -> Result<Option<f64>, E>) -> Result<Signals, E> {
+    Ok(Signals {
+        busy: figure(&["busy", "util"])?,
+        in_flight: figure(&["rif", "inflight"])?,
+        waiting: figure(&["q", "queue"])?,
+        memory: figure(&["x0"])?,
+        disks: figure(&["x1"])?,
+    })
+}
+
 pub fn fleet(seed: u64, params: Fields) -> Result<Fleet, Fault> {
     let domain = params.part("domain")?;
     let cores = domain.rows("kindCores")?.iter();
@@ -30,6 +41,7 @@
         cuts_grants: domain.text("whenShort").is_ok_and(|what| what == "cut"),
         heeds_priorities: domain.flag("lanesCount")?,
         note_every: domain.maybe_time("tellsEveryMs").filter(|every| !every.is_zero()),
+        probes_tell: params.part("report")?.text("how")? == "probe",
         list_is_asked: params.text("discovery")? == "ask",
         tick: params.time("tickMs")?,
     })
@@ -84,6 +96,7 @@
     Ok(Duties {
         most_hops: caps.index("mostTries")?,
         may_cancel: caps.flag("cancel")?,
+        may_probe: caps.maybe_flag("probes"),
         start_capacity: rules.number("startCapacity")?,
         warm_up: rules.time("warmUpMs")?,
         overload_factor: rules.number("overloadFactor")?,
--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -3,7 +3,7 @@
 use emberflow::{
     Arrival, Bill, Ended, EngineId, HopEnd, KeyId, Listing, Notice, Outlet, Router, Signals, TaskId,
 };
-use emberflow_startup::{Fault, Fields, duties, fleet, reported, to_ms, traffic};
+use emberflow_startup::{Fault, Fields, duties, fleet, load, reported, to_ms, traffic};
 use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::io::Write;
@@ -78,6 +78,9 @@
     fn give_up(&mut self, task: TaskId) {
         self.write(json!({"op": "ABORT", "ref": self.task(task)}));
     }
+    fn probe(&mut self, engine: EngineId) {
+        self.write(json!({"op": "TOUCH", "engine": self.names.engines.names[engine]}));
+    }
     fn wake_after(&mut self, wait: Duration) {
         self.write(json!({"op": "AFTER", "offsetMs": to_ms(wait), "keyBack": 0}));
     }
@@ -180,7 +183,13 @@
                 }
             }
             "BELL" => router.wake(now, &mut Writer { who: *who, now, names, reply }),
-            "INBOX" | "PROBE_DONE" | "STARTED" => {}
+            "PROBE_DONE" => {
+                let engine = names.engines.number(line.text("engine")?);
+                let signals = signals(reported, line);
+                let out = &mut Writer { who: *who, now, names, reply };
+                router.probed(now, engine, signals, out);
+            }
+            "INBOX" | "STARTED" => {}
             _ => return Err(format!("unknown `op` {op}")),
         }
         Ok(())
@@ -215,15 +224,9 @@
 
 fn signals(reported: &[String], line: Fields) -> Option<Signals> {
     let row = line.maybe("stats")?.as_array()?;
-    let mut signals = Signals::default();
-    for (name, value) in reported.iter().zip(row) {
-        match name.as_str() {
-            "busy" => signals.busy = value.as_f64(),
-            "q" => signals.waiting = value.as_f64(),
-            "x0" => signals.memory = value.as_f64(),
-            "x1" => signals.disks = value.as_f64(),
-            _ => {}
-        }
-    }
-    Some(signals)
+    let value = |names: &[&str]| {
+        let at = reported.iter().position(|told| names.contains(&told.as_str()));
+        Ok::<_, Fault>(at.and_then(|at| row.get(at)?.as_f64()))
+    };
+    load(value).ok()
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,8 @@
     fn bounce(&mut self, task: TaskId, come_back: Option<Duration>);
     /// Final answer: not done, nothing promised.
     fn give_up(&mut self, task: TaskId);
+    /// Asks an engine for its load, where that is allowed.
+    fn probe(&mut self, engine: EngineId);
     /// Asks for a [`Router::wake`] after `wait`.
     fn wake_after(&mut self, wait: Duration);
     /// Asks for the changes of the engine list from now on.
@@ -51,6 +53,8 @@
     /// Whether a hop gets what is left where memory is short.
     pub cuts_grants: bool,
     pub note_every: Option<Duration>,
+    /// Whether engines tell their load only when they are probed.
+    pub probes_tell: bool,
     pub list_is_asked: bool,
     pub tick: Duration,
 }
@@ -93,6 +97,7 @@
 pub struct Duties {
     pub most_hops: usize,
     pub may_cancel: bool,
+    pub may_probe: bool,
     pub start_capacity: f64,
     pub warm_up: Duration,
     pub overload_factor: f64,
@@ -165,6 +170,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Signals {
     pub busy: Option<f64>,
+    /// Tasks that it holds, and of these those that wait for memory.
+    pub in_flight: Option<f64>,
     pub waiting: Option<f64>,
     pub memory: Option<f64>,
     pub disks: Option<f64>,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -251,6 +251,12 @@
         self.settle(now, out);
     }
 
+    /// An engine's answer to a probe, or that none came.
+    pub fn probed(&mut self, now: Duration, id: EngineId, signals: Option<Signals>, out: &mut impl Outlet) {
+        self.report(now, id, signals, TaskId::MAX);
+        self.settle(now, out);
+    }
+
     pub fn notice(&mut self, now: Duration, id: TaskId, hop: usize, notice: Notice, out: &mut impl Outlet) {
         if let Some(task) = self.tasks.get_mut(&id)
             && let Some(hop_out) = task.hops.get_mut(hop)
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -34,6 +34,9 @@
     fn give_up(&mut self, task: TaskId) {
         self.add(format_args!("give up task {task}"));
     }
+    fn probe(&mut self, engine: EngineId) {
+        self.add(format_args!("probe engine {engine}"));
+    }
     fn wake_after(&mut self, wait: Duration) {
         self.2 = wait;
     }
@@ -77,12 +80,14 @@
         heeds_priorities: false,
         cuts_grants: false,
         note_every: Some(ms(500)),
+        probes_tell: false,
         list_is_asked: false,
         tick: ms(5),
     };
     let duties = Duties {
         most_hops: 3,
         may_cancel: true,
+        may_probe: false,
         start_capacity: 0.3,
         warm_up: ms(10_000),
         overload_factor: 2.0,
