--- a/src/logic.rs
+++ b/src/logic.rs
@@ -217,9 +217,16 @@
         {
             learned.memory_ratios.push(now, if missing > 0.0 { (grant + missing) / told } else { 1.0 });
         }
+        let mut ideal = task.ideal;
         if told_cost.is_none() && end == HopEnd::Succeeded {
             let threads = self.traffic[traffic].threads;
-            learned.costs.push(now, bill.map_or(seconds(took) * threads, |bill| seconds(bill.cost)));
+            // Unbilled, its share of the cores is what it ran on: else a crowd would look like its own work.
+            let crowd = signals.and_then(|_| self.engines[&engine].report).and_then(|(_, told)| told.busy);
+            let alone = seconds(took) * threads / crowd.unwrap_or(1.0).max(1.0);
+            let cost = bill.map_or(alone, |bill| seconds(bill.cost));
+            learned.costs.push(now, cost);
+            // What it came to, not what such tasks come to: the first know nothing, and one is not like another.
+            ideal = cost / threads.max(1.0);
         }
         let engine = self.engines.get_mut(&engine).expect("an engine that a hop went to");
         engine.out.retain(|out| (out.task, out.hop) != (id, hop));
@@ -229,7 +236,7 @@
         let again = engine.bad.last().is_some_and(|(at, bad)| bad > 0.0 && at + self.fleet.tick >= now);
         match end {
             HopEnd::Succeeded => {
-                let stretch = seconds(now - sent) / (task.ideal + seconds(self.fleet.tick));
+                let stretch = seconds(now - sent) / (ideal + seconds(self.fleet.tick));
                 learned.stretches.push(now, stretch);
                 // Over an idle engine's run, not the best of late: in lasting overload that drifts up.
                 engine.stretches.push(now, stretch);
@@ -273,7 +280,9 @@
                 Notice::WaitsForLoad => engine.held.extend(task.group.map(|group| (group, now))),
                 _ => {}
             }
-            let spills = self.fleet.cuts_grants && matches!(notice, Notice::Spills(_));
+            // A spill tells of a cut grant only where the grant was named after what the task told.
+            let told = self.fleet.cuts_grants && task.told_memory.is_some();
+            let spills = told && matches!(notice, Notice::Spills(_));
             let short = spills || notice == Notice::WaitsForMemory;
             engine.refused = short.then_some(now).or(engine.refused);
         }
@@ -330,7 +339,12 @@
     /// Takes a report in. What this router's other hops hold, over what the fleet does with as much granted
     /// everywhere, samples the share: at one engine alone, those with an own hop would count too often.
     fn report(&mut self, now: Duration, id: EngineId, signals: Option<Signals>, ended: TaskId) {
-        let Some((signals, engine)) = signals.zip(self.engines.get_mut(&id)) else { return };
+        let Some((mut signals, engine)) = signals.zip(self.engines.get_mut(&id)) else { return };
+        // Where cores are not told, the tasks in flight tell how many threads stand for them.
+        let out = self.tasks.values().filter(|task| task.out());
+        let threads = mean(out.map(|task| self.traffic[task.traffic].threads)).unwrap_or(1.0);
+        let crowd = signals.in_flight.map(|tasks| tasks * threads / self.fleet.kinds[engine.kind].cores);
+        signals.busy = signals.busy.or(crowd);
         engine.report = Some((now, signals));
         if let Some(memory) = signals.memory.filter(|m| *m > 0.0) {
             let out = self.tasks.iter().filter(|(id, task)| **id != ended && task.out());
@@ -416,11 +430,15 @@
         let count = |tier| engines().flat_map(|(_, e)| &e.out).filter(|out| out.tier == tier).count() as f64;
         let (memory, threads) = engines().map(|(id, _)| self.own(*id, Duration::ZERO)).fold((0.0, 0.0), add);
         let pressed = || engines().filter(|(id, _)| seen[id].pressed == Some(true));
-        let held = |tier| pressed().map(|(_, engine)| self.threads_out(engine, tier)).sum();
+        // What stands at a jammed engine takes no more than its part, or one task, from the others.
+        let one = self.traffic.iter().map(|t| t.threads).fold(1.0, f64::max).max(cores * share);
+        let held = |tier| pressed().map(|(_, engine)| self.threads_out(engine, tier).min(one)).sum();
         let reports = || engines().filter_map(|(_, engine)| engine.report.as_ref());
         let told = |part: fn(&Signals) -> Option<f64>| mean(reports().filter_map(|(_, s)| part(s)));
         Gateway {
-            told: told(|s| s.memory).zip(told(|s| s.busy)),
+            // What is in flight comes and goes too fast for a mean of old reports.
+            told: (told(|s| s.memory), told(|s| s.busy.filter(|_| s.in_flight.is_none()))),
+            counted: reports().any(|(_, s)| s.in_flight.is_some()),
             memory,
             threads,
             pool: pressed().map(|(id, _)| seen[id].ease * cores).sum(),
@@ -483,6 +501,13 @@
         engine.ready && placed && same_group
     }
 
+    /// Whether neither placement nor an earlier hop keeps it from engines that others may be sent to.
+    fn may_go_anywhere(&self, task: &Task) -> bool {
+        let traffic = &self.traffic[task.traffic];
+        let bound = matches!(&traffic.effect, Effect::Referenced { scope, .. } if *scope != Scope::All);
+        traffic.locations.is_none() && (!bound || task.first_that_may_have_run().is_none())
+    }
+
     /// Whether effects allow another hop: never while one is out.
     fn may_run_again(&self, task: &Task, now: Duration) -> bool {
         let harmless = match (&self.traffic[task.traffic].effect, task.first_that_may_have_run()) {
@@ -575,20 +600,27 @@
         let own = || self.own(id, Duration::ZERO);
         let alone = || parts(add(own(), (kind.memory * others, kind.threads * others)));
         let fresh = || parts(self.own(id, now.saturating_sub(self.beat())));
-        let guess = kind.told.map_or_else(alone, |told| add(told, fresh()));
+        let (alone, fresh) = (alone(), fresh());
+        let guess = |told: Option<f64>, fresh, alone| told.map_or(alone, |told| told + fresh);
+        let guess = (guess(kind.told.0, fresh.0, alone.0), guess(kind.told.1, fresh.1, alone.1));
         let Some((at, signals)) = &engine.report else {
-            // Nothing tells them apart but this router's own hops: others like what it likes.
-            let alike = parts(own());
-            return (guess.0, (alike.0 + alike.1) / share);
+            // Nothing tells them apart but this router's own hops: others like what it likes. Where others tell,
+            // it is the mean of those, or what is in flight of what they like and this task.
+            let (own, new) = (own(), parts((0.0, 0.0)));
+            let alike = (own.0 / memory_mb + own.1 / cores) / share;
+            let new = (new.0 + new.1) / if kind.counted { 1.0 } else { share };
+            return (guess.0, kind.told.1.map_or(alike + new, |_| guess.0 + guess.1));
         };
         let (unseen, unseen_busy) = parts(self.own(id, at.saturating_sub(self.beat())));
         let age = seconds(now - *at) / seconds(self.beat() * 4);
-        let fade = |told: Option<f64>, unseen: f64, guess: f64| match told {
-            Some(told) => (told + unseen + guess * age) / (1.0 + age),
+        // Guards against engines that have gone quiet under a crowd: whatever was told, own hops are there.
+        let there = parts(own());
+        let fade = |told: Option<f64>, unseen: f64, guess: f64, there: f64| match told {
+            Some(told) => ((told + unseen + guess * age) / (1.0 + age)).max(there),
             None => guess,
         };
-        let memory = fade(signals.memory, unseen, guess.0);
-        (memory, memory + fade(signals.busy, unseen_busy, guess.1))
+        let memory = fade(signals.memory, unseen, guess.0, there.0);
+        (memory, memory + fade(signals.busy, unseen_busy, guess.1, there.1))
     }
 
     /// Revenue for a second of the usual work.
@@ -794,9 +826,6 @@
         if ready.iter().any(|(id, _)| healthy(*id)) {
             ready.retain(|(id, e)| healthy(*id) || trickled(e));
         }
-        if ready.iter().any(|(id, _)| !tried(*id)) {
-            ready.retain(|(id, _)| !tried(*id));
-        }
         let mut free: Vec<(f64, EngineId, Tier)> = Vec::new();
         let mut full = Vec::new();
         for (to, engine) in ready {
@@ -810,7 +839,10 @@
             // A shortage noted since the last report, as for most engines when routers are many.
             let told = engine.report.map_or(Duration::ZERO, |(at, _)| at).max(lately);
             let short = engine.refused.is_some_and(|at| at > told);
-            let fits = tier <= Tier::Small || gateway.threads == 0.0 || memory_in_use <= most && !short;
+            // Tasks in flight tell of more than all cores; where cores are told themselves, pressure does.
+            let crowded = gateway.counted && crowd - memory_in_use > PRESSED * FULL;
+            let room = memory_in_use <= most && !short && !crowded;
+            let fits = tier <= Tier::Small || gateway.threads == 0.0 || room;
             if fits && self.slot_open(engine, tier, threads, (seen, gateway, sight.share)) {
                 free.push((1.0 - crowd / 2.0 * seen.slow, to, tier));
             } else {
@@ -818,7 +850,7 @@
             }
         }
         // Whoever had the choice of all engines keeps later ones of the tier behind it.
-        if task.hops.is_empty() && self.traffic[task.traffic].locations.is_none() {
+        if self.may_go_anywhere(task) {
             full.retain(|slot| !free.iter().any(|(_, to, tier)| (self.engines[to].kind, *tier) == *slot));
             blocked.extend(full);
         }
@@ -829,8 +861,10 @@
             let noted = task.group.and_then(|g| engine.held.get(&g)).is_some_and(|at| *at >= lately);
             self.traffic[task.traffic].waits_for_loads && (noted || loads.any(|t| t.group == task.group))
         };
-        let elsewhere = free.iter().any(|f| !held(f.1));
-        free.retain(|f| !elsewhere || !held(f.1));
+        for avoided in [&tried as &dyn Fn(EngineId) -> bool, &held] {
+            let elsewhere = free.iter().any(|f| !avoided(f.1));
+            free.retain(|f| !elsewhere || !avoided(f.1));
+        }
         let most = free.iter().map(|f| f.0).fold(f64::NEG_INFINITY, f64::max);
         free.retain(|f| f.0 >= most - NEAR);
         // Near ties only: to where the group was read, to the home location.
@@ -869,14 +903,25 @@
 
     /// Refuses when the time left cannot cover a run, or after a time-out that grows by tier.
     fn refuse_what_waits_in_vain(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
-        let in_vain = |task: &Task| {
-            let (run, memory) = (span(task.ideal * sight.runs[task.traffic]), task.tier_memory());
+        let from = now.saturating_sub(self.beat() * 4);
+        // Those of untold cost stand in one line, whose time-out is one: else the patient ones keep the others out.
+        let shortest = self.traffic.iter().enumerate().map(|(at, traffic)| {
+            traffic.target + span(traffic.target_stretch * self.usual_cost(at) / traffic.threads.max(1.0))
+        });
+        let shortest = shortest.min().unwrap_or(Duration::MAX);
+        let in_vain = |router: &Self, task: &Task| {
+            let (run, memory) = (task.ideal * sight.runs[task.traffic], task.tier_memory());
+            // What is learned from those sent judges no type of which none came back lately.
+            let back = || router.learned[task.traffic].stretches.since(from).next().is_some();
+            let run = span(if task.told_cost.is_some() || back() { run } else { 0.0 });
             let tiers = sight.gateways.iter().map(|gateway| gateway.tier(memory));
             let hold = HOLD[tiers.min().unwrap_or(Tier::Largest) as usize];
-            let time_out = task.arrived + task.target.saturating_sub(task.arrived).mul_f64(hold);
+            let alone = task.told_cost.is_some() || task.key.is_some();
+            let way = task.target.saturating_sub(task.arrived);
+            let time_out = task.arrived + if alone { way } else { way.min(shortest) }.mul_f64(hold);
             now + run > task.target || now > time_out
         };
-        self.refuse(|_, task| task.held() && in_vain(task), out)
+        self.refuse(|router, task| task.held() && in_vain(router, task), out)
     }
 
     fn stay_awake(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -125,7 +125,9 @@
     pub small: f64,
     pub medium: f64,
     /// Mean parts of memory and cores that its engines reported in use.
-    pub told: Option<(f64, f64)>,
+    pub told: (Option<f64>, Option<f64>),
+    /// Whether its engines tell how many tasks they hold.
+    pub counted: bool,
     pub memory: f64,
     pub threads: f64,
     pub held: [f64; 4],
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -259,6 +259,18 @@
         self.hop_ended(Ended { task, hop, engine, end, took: ms(1), bill: None, signals, over })
     }
 
+    /// Its first hop has succeeded after so many ms.
+    pub fn answered(
+        &mut self,
+        task: TaskId,
+        engine: EngineId,
+        took: u64,
+        told: Option<Signals>,
+    ) -> &mut Self {
+        let (hop, end, took) = (0, HopEnd::Succeeded, ms(took));
+        self.hop_ended(Ended { task, hop, engine, end, took, bill: None, signals: told, over: true })
+    }
+
     pub fn notice(&mut self, task: TaskId, hop: usize, notice: Notice) -> &mut Self {
         self.router.notice(ms(self.lines.1), task, hop, notice, &mut self.lines);
         self
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -615,3 +615,97 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+/// A report of so many tasks in flight, and of nothing else.
+fn counted(in_flight: f64) -> Option<Signals> {
+    Some(Signals { in_flight: Some(in_flight), ..Signals::default() })
+}
+
+#[test]
+fn the_first_tasks_of_untold_cost_make_none_after_them_look_hopeless() {
+    let mut trace = Trace::new(1, |_, _, _| ());
+    trace.accept(0, 0, 0.0).accept(0, 0, 0.0).at(100).answered(0, 0, 100, None).accept(0, 0, 0.0);
+    expect![[r#"
+        0     task 0 gets 0 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        0     task 1 gets 0 MB, priority 1
+        0     task 1 to engine 0 until 7980
+        100   task 2 gets 0 MB, priority 1
+        100   task 2 to engine 0 until 8080
+    "#]]
+    .assert_eq(&trace.decided());
+}
+
+#[test]
+fn a_crowd_is_not_taken_for_the_work_of_those_in_it() {
+    let mut trace = Trace::new(1, |_, _, _| ());
+    trace.accept(0, 0, 0.0).accept(0, 0, 0.0).at(1500).answered(0, 0, 1500, counted(24.0)).decided();
+    trace.at(3000).answered(1, 0, 3000, counted(24.0)).at(3500).accept(0, 0, 0.0).accept(0, 0, 0.0);
+    expect![[r#"
+        3500  task 2 gets 0 MB, priority 1
+        3500  task 2 to engine 0 until 11480
+    "#]]
+    .assert_eq(&trace.decided());
+}
+
+#[test]
+fn medium_tasks_wait_at_two_threads_a_core_where_tasks_in_flight_are_told() {
+    let mut trace = Trace::new(2, |_, _, _| ());
+    trace.accept(0, 0, 0.0).at(50).answered(0, 0, 50, counted(15.5)).accept(0, 0, 0.0);
+    trace.at(60).answered(1, 1, 50, counted(15.0)).decided();
+    trace.accept(0, 0, 0.0).accept(0, 0, 0.0).at(70).answered(2, 1, 10, counted(12.0));
+    expect![[r#"
+        60    task 2 gets 0 MB, priority 1
+        60    task 2 to engine 1 until 8040
+        70    task 3 gets 0 MB, priority 1
+        70    task 3 to engine 1 until 8040
+    "#]]
+    .assert_eq(&trace.decided());
+}
+
+#[test]
+fn one_line_has_one_time_out_where_costs_are_untold() {
+    let mut trace = Trace::new(1, |_, _, _| ());
+    trace.accept(0, 0, 0.0).at(50).answered(0, 0, 50, counted(40.0)).accept(0, 0, 0.0).decided();
+    trace.accept(1, 0, 0.0).accept(0, 0, 0.0).wait(1200);
+    expect![[r#"
+        570   bounce task 2, back after 400
+        570   bounce task 3, back after 400
+        1090  cancel task 1 hop 0
+    "#]]
+    .assert_eq(&trace.decided());
+}
+
+#[test]
+fn a_spill_keeps_no_task_away_where_memory_is_untold() {
+    let mut trace = Trace::new(1, |fleet, _, _| fleet.cuts_grants = true);
+    trace.accept(0, 0, 0.0).at(20).notice(0, 0, Notice::Spills(100.0)).at(30).accept(0, 0, 0.0);
+    expect![[r#"
+        0     task 0 gets 0 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        30    task 1 gets 0 MB, priority 1
+        30    task 1 to engine 0 until 8010
+    "#]]
+    .assert_eq(&trace.decided());
+}
+
+#[test]
+fn a_task_sent_before_goes_back_where_alone_is_room() {
+    let mut trace = Trace::new(2, |_, _, _| ());
+    trace.accept(0, 0, 0.0).at(50).answered(0, 0, 50, counted(1.0)).accept(0, 0, 0.0);
+    trace.at(60).answered(1, 1, 10, counted(30.0)).accept(0, 0, 0.0).accept(0, 0, 0.0);
+    trace.at(70).ended(2, 0, 0, HopEnd::Failed);
+    expect![[r#"
+        0     task 0 gets 0 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        50    task 1 gets 0 MB, priority 1
+        50    task 1 to engine 0 until 8030
+        60    task 2 gets 0 MB, priority 1
+        60    task 2 to engine 0 until 8040
+        60    task 3 gets 0 MB, priority 1
+        60    task 3 to engine 0 until 8040
+        70    task 2 gets 0 MB, priority 1
+        70    task 2 to engine 0 until 8040
+    "#]]
+    .assert_eq(&trace.decided());
+}
