Settings are checked whole at start, and a fault names the path of its key

Need: a fault named only the last key (`windowMs` of which class?), and much of what contradicts itself was taken: indices out of range or no indices were dropped, lists of unequal length cut short, unknown words for `report.how`, `discovery` and `whenShort` read as one of the known, negative times as none.

Change: Fields keeps what it was reached from and looks for the way between only for a fault, so a wire line allocates nothing more. Figures that must be positive, parts of 0 to 1, times, places, lists of one length, known words, at least one class and kind, and a budget of hops without its period are checked, by the wirehost, `check` and `serve` alike; the router also refuses two zones, kinds or classes of one name. A report field of unknown name is ignored and told once, on standard error or in the log. A time left of a client below zero is still none (`graceMs`); other negative times on the wire are faults now.

Test changed: the configuration of the socket test for a taken port had no class, which is a fault now; it has one, and what the test expects is as before.

--- a/crates/router/src/bulletin.rs
+++ b/crates/router/src/bulletin.rs
@@ -3,7 +3,6 @@
 use crate::counters::Counters;
 use crate::ring::Ring;
 use emberflow_startup::{Fault, Fields};
-use serde_json::Value;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -125,26 +124,28 @@
 /// The number of the last event of the start, and all of them.
 pub fn known(file: Fields, locations: &[String], kinds: &[String]) -> Result<(u64, Vec<Event>), Fault> {
     let known = file.part("known")?;
-    let event = |item: &Value| {
-        let roster = Fields(item).part("roster")?;
-        let rows = roster.rows("members")?.iter().map(|row| member(Fields(row), locations, kinds));
+    let event = |item: Fields| {
+        let roster = item.part("roster")?;
+        let rows = roster.rows("members")?.map(|row| member(row, locations, kinds));
         Ok((roster.flag("complete")?, rows.collect::<Result<_, Fault>>()?))
     };
-    let events = known.rows("items")?.iter().map(event).collect::<Result<_, Fault>>()?;
+    let events = known.rows("items")?.map(event).collect::<Result<_, Fault>>()?;
     Ok((known.whole("no")?, events))
 }
 
 fn member(row: Fields, locations: &[String], kinds: &[String]) -> Result<Row, Fault> {
-    let id = row.text("id")?;
+    let told = |name: &str| Ok::<_, Fault>((row.field(name)?, row.text(name)?));
+    let ((named, id), (placed, address)) = (told("id")?, told("host_port")?);
     let number = id.strip_prefix("s-").and_then(|digits| u32::from_str_radix(digits, 16).ok());
     let place = |list: &[String], name: &str| {
-        let name = row.text(name)?;
-        list.iter().position(|n| n == name).ok_or_else(|| format!("`{name}` is not in the settings"))
+        let (field, name) = told(name)?;
+        let unknown = || field.fault(format_args!("is not in the settings: {name}"));
+        list.iter().position(|n| n == name).ok_or_else(unknown)
     };
-    let (address, phase) = (row.text("host_port")?, row.text("phase")?);
+    let phase = row.text("phase")?;
     Ok(Row {
-        id: number.ok_or_else(|| format!("`{id}` is no engine's id"))?,
-        address: address.parse().map_err(|_| format!("`{address}` is no address"))?,
+        id: number.ok_or_else(|| named.fault(format_args!("is no engine's id: {id}")))?,
+        address: address.parse().map_err(|_| placed.fault(format_args!("is no address: {address}")))?,
         ready: phase == "ready",
         gone: phase == "gone",
         location: place(locations, "locality")?,
--- a/crates/router/src/command.rs
+++ b/crates/router/src/command.rs
@@ -82,7 +82,8 @@
 }
 
 fn check(path: &OsStr, operator: Option<&OsStr>) -> Result<(), String> {
-    let Briefing { premises, fleet, traffic, events, last, orders, .. } = briefing(path, operator, None)?;
+    let Briefing { premises, fleet, traffic, events, last, unread, orders, .. } =
+        briefing(path, operator, None)?;
     let engines = events.iter().flat_map(|(_, rows)| rows).map(|row| row.id);
     let engines = engines.collect::<std::collections::BTreeSet<_>>().len();
     println!("{} listens on {}, bulletin at {}", premises.name, premises.listen, premises.bulletin);
@@ -93,6 +94,7 @@
         fleet.kinds.len()
     );
     println!("{} traffic types: {}", traffic.len(), premises.traffic.join(", "));
+    unread.iter().for_each(|unread| println!("{unread}, so it goes unread"));
     if let Some(roll) = orders.teams {
         let part = |(at, name): (usize, &String)| format!("{name} {:.1} %", roll.charter.part(at) * 100.0);
         let parts: Vec<String> = roll.names.iter().enumerate().map(part).collect();
--- a/crates/router/src/edge.rs
+++ b/crates/router/src/edge.rs
@@ -71,6 +71,7 @@
     /// Serves until a planned restart ends it. The configuration is read at the start and at each SIGHUP.
     pub fn run(read: impl Fn() -> Result<Briefing, String> + 'static) -> Result<(), String> {
         let briefing = read()?;
+        briefing.unread.iter().for_each(|unread| log::warn!("{unread}, so it goes unread"));
         let (premises, fault) =
             (&briefing.premises, |what: &str, e: &dyn std::fmt::Display| format!("{what}: {e}"));
         let mut event_loop = EventLoop::try_new().map_err(|e| fault("the loop", &e))?;
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -62,7 +62,7 @@
 impl Front {
     /// Begins with the events that the configuration tells.
     pub fn new(briefing: Briefing, works: Works) -> Self {
-        let Briefing { premises, fleet, traffic, duties, last, events, orders } = briefing;
+        let Briefing { premises, fleet, traffic, duties, last, events, orders, unread: _ } = briefing;
         let (habits, now) = (traffic.iter().map(|t| (t.target, t.keeps_order)).collect(), works.now());
         let longest_come_back = duties.longest_come_back;
         let longest = traffic.iter().map(|traffic| traffic.patience).max().unwrap_or_default();
@@ -233,11 +233,11 @@
         match method.as_str() {
             "status" => self.status(slot, id),
             "withdraw" => {
-                let withdrawn = self.named(slot, &jsonrpc::withdrawal(id, Fields(&params)));
+                let withdrawn = self.named(slot, &jsonrpc::withdrawal(id, Fields::of(&params)));
                 withdrawn.into_iter().for_each(|task| self.withdraw(task));
                 Ok(())
             }
-            _ => self.take(slot, id, (&method, Fields(&params)), waited),
+            _ => self.take(slot, id, (&method, Fields::of(&params)), waited),
         }
     }
 
--- a/crates/router/src/jsonrpc.rs
+++ b/crates/router/src/jsonrpc.rs
@@ -59,7 +59,7 @@
     const METHOD: &str = "withdraw";
     line.windows(METHOD.len()).any(|part| part == METHOD.as_bytes()).then_some(())?;
     let (id, _, params) = request(line).ok().filter(|(_, method, _)| method == METHOD)?;
-    Some(withdrawal(id, Fields(&params)))
+    Some(withdrawal(id, Fields::of(&params)))
 }
 
 pub fn body(text: &str) -> Option<Vec<u8>> {
--- a/crates/router/src/premises.rs
+++ b/crates/router/src/premises.rs
@@ -3,7 +3,7 @@
 use crate::bulletin::{Event, known};
 use emberflow::{Duties, Fleet, TrafficType};
 use emberflow_operator::Orders;
-use emberflow_startup::{Fault, Fields, duties, fleet, traffic};
+use emberflow_startup::{Fault, Fields, duties, fleet, marks_retries, traffic, unknown_reports};
 use serde_json::Value;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -18,6 +18,8 @@
     /// The last event of the bulletin, and all so far.
     pub last: u64,
     pub events: Vec<Event>,
+    /// Fields of the load report that go unread, in words.
+    pub unread: Vec<String>,
     /// The operator's own file; nothing without one.
     pub orders: Orders,
 }
@@ -25,14 +27,15 @@
 impl Briefing {
     pub fn read(file: &Value, listen: Option<&str>) -> Result<Self, Fault> {
         let premises = Premises::read(file, listen)?;
-        let settings = Fields(file).part("settings")?;
-        let (last, events) = known(Fields(file), &premises.locations, &premises.kinds)?;
+        let settings = Fields::of(file).part("settings")?;
+        let (last, events) = known(Fields::of(file), &premises.locations, &premises.kinds)?;
         let (fleet, traffic) = (fleet(premises.seed, settings)?, traffic(settings)?);
         Ok(Self {
             fleet,
             traffic,
             // On sockets a probe tells only that a connection works.
             duties: Duties { may_probe: false, ..duties(settings)? },
+            unread: unknown_reports(settings)?,
             last,
             events,
             premises,
@@ -75,14 +78,13 @@
 
 impl Premises {
     fn read(file: &Value, listen: Option<&str>) -> Result<Self, Fault> {
-        let file = Fields(file);
+        let file = Fields::of(file);
         let (limits, settings) = (file.part("limits")?, file.part("settings")?);
         let caps = settings.part("caps")?;
         let address = |name: &str, text: &str| {
             text.parse().map_err(|_| format!("`{name}` is not an address with a port: {text}"))
         };
         let seed = file.text("seed")?;
-        let habits = settings.part("clientHabits");
         Ok(Self {
             name: file.text("name")?.to_owned(),
             listen: address("listen", listen.map_or_else(|| file.text("listen"), Ok)?)?,
@@ -90,22 +92,21 @@
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("`seed` is not hexadecimal: {seed}"))?,
             descriptors: limits.index("sockets")?,
             memory: limits.index("memory_mb")?.saturating_mul(1 << 20),
-            locations: names(settings, "zones")?,
-            kinds: names(settings, "kinds")?,
-            traffic: settings
-                .rows("categories")?
-                .iter()
-                .map(|row| Fields(row).text("name").map(str::to_owned))
-                .collect::<Result<_, _>>()?,
-            marks_retries: habits.is_ok_and(|habits| habits.maybe_flag("marksRetry")),
-            most_open: caps.maybe_number("maxOpen").map_or(usize::MAX, |most| most as usize).max(1),
+            locations: told_apart(settings.rows("zones")?.map(Ok))?,
+            kinds: told_apart(settings.rows("kinds")?.map(Ok))?,
+            traffic: told_apart(settings.rows("categories")?.map(|row| row.field("name")))?,
+            marks_retries: marks_retries(settings)?,
+            most_open: caps
+                .optional("maxOpen", Fields::not_negative)?
+                .map_or(usize::MAX, |most| most as usize)
+                .max(1),
             streams: caps.index("streamsPerConn")?.max(1),
             comes_up: caps.time("connectTimeoutMs")?,
             idle_close: caps.time("idleCloseMs")?,
-            may_duplicate: caps.maybe("mayDuplicate").is_none_or(|told| told.as_bool() != Some(false)),
+            may_duplicate: caps.optional("mayDuplicate", Fields::flag)?.unwrap_or(true),
             settings: {
                 let mut hasher = DefaultHasher::new();
-                settings.0.to_string().hash(&mut hasher);
+                settings.value().to_string().hash(&mut hasher);
                 hasher.finish()
             },
         })
@@ -149,7 +150,15 @@
     }
 }
 
-fn names(settings: Fields, list: &str) -> Result<Vec<String>, Fault> {
-    let text = |v: &Value| v.as_str().map(str::to_owned).ok_or_else(|| format!("`{list}` holds no names"));
-    settings.rows(list)?.iter().map(text).collect()
+/// Names of which no two are the same.
+fn told_apart<'a>(mut list: impl Iterator<Item = Result<Fields<'a>, Fault>>) -> Result<Vec<String>, Fault> {
+    list.try_fold(Vec::new(), |mut names, field| {
+        let field = field?;
+        let name = field.as_text()?.to_owned();
+        if names.contains(&name) {
+            return Err(field.fault(format_args!("stands there twice: {name}")));
+        }
+        names.push(name);
+        Ok(names)
+    })
 }
--- a/crates/router/tests/sockets/house.rs
+++ b/crates/router/tests/sockets/house.rs
@@ -58,7 +58,8 @@
 
 pub const TAKEN: &str = r#"{"name":"n0","listen":"LISTEN","seed":"1","limits":{"memory_mb":64,"sockets":256},
 "bulletin":"127.0.0.1:1","known":{"no":0,"items":[]},"settings":{"caps":{"cancel":true,"connectTimeoutMs":250,
-"idleCloseMs":15000,"mostTries":3,"retryAfter":false,"streamsPerConn":32},"categories":[],"discovery":"push",
+"idleCloseMs":15000,"mostTries":3,"retryAfter":false,"streamsPerConn":32},"categories":[{"deadlineMs":8000,
+"gain":1,"lateShare":0,"name":"lookup","onTimeMs":2000,"repeat":"once"}],"discovery":"push",
 "domain":{"kindCores":[8],"largestShare":0.4,"lanesCount":true,"sizeMb":[16384]},"instances":1,"kinds":["std-8"],
 "myZone":0,"report":{"how":"none"},"rules":{"fallMs":1000,"overloadFactor":2.5,"startCapacity":0.3,
 "warmUpMs":9000},"tickMs":5,"zones":["hall-a"]}}"#;
--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -5,19 +5,54 @@
 pub use fields::{Fault, Fields, from_ms, to_ms};
 
 use emberflow::{Duties, Effect, Fleet, HopBudget, Kind, Scope, Signals, TrafficType};
-use serde_json::Value;
+
+/// Values of a load report that nothing reads, by the settings' names and the pages'.
+const UNREAD: [&str; 6] = ["lat_ms", "latency_ms", "rate", "qps", "fail_rate", "eps"];
 
 /// The names of the load signals that answers hold, in their order.
 pub fn reported(params: Fields) -> Result<Vec<String>, Fault> {
     let report = params.part("report")?;
-    Ok(match report.text("how")? {
+    Ok(match how(report)? {
         "none" => Vec::new(),
-        _ => report.rows("names")?.iter().filter_map(|n| n.as_str().map(str::to_owned)).collect(),
+        _ => report.texts("names")?,
     })
 }
 
+/// How engines tell their load.
+fn how<'a>(report: Fields<'a>) -> Result<&'a str, Fault> {
+    one_of(report, "how", &["answers", "probe", "none"])
+}
+
+/// A text that must be one of these.
+fn one_of<'a>(fields: Fields<'a>, name: &str, known: &[&str]) -> Result<&'a str, Fault> {
+    let field = fields.field(name)?;
+    let text = field.as_text()?;
+    known.contains(&text).then_some(text).ok_or_else(|| unknown(field, text))
+}
+
+fn unknown(field: Fields, text: &str) -> Fault {
+    field.fault(format_args!("is unknown: {text}"))
+}
+
+/// The fields of a load report that are unknown and so go unread, each in words.
+pub fn unknown_reports(params: Fields) -> Result<Vec<String>, Fault> {
+    if reported(params)?.is_empty() {
+        return Ok(Vec::new());
+    }
+    let known = |name: &str| {
+        let mut read = UNREAD.contains(&name);
+        let _ = load(|names| {
+            read |= names.contains(&name);
+            Ok::<_, Fault>(None)
+        });
+        read
+    };
+    let told = |row: Fields| row.as_text().ok().filter(|name| !known(name)).map(|name| unknown(row, name));
+    Ok(params.part("report")?.rows("names")?.filter_map(told).collect())
+}
+
 /// A load report, read by what asks for a figure under either of its names: the settings' and the pages'.
-pub fn load<E>(figure: impl Fn(&[&str]) -> Result<Option<f64>, E>) -> Result<Signals, E> {
+pub fn load<E>(mut figure: impl FnMut(&[&str]) -> Result<Option<f64>, E>) -> Result<Signals, E> {
     Ok(Signals {
         busy: figure(&["busy", "util"])?,
         in_flight: figure(&["rif", "inflight"])?,
@@ -27,85 +62,124 @@
     })
 }
 
+/// Whether clients mark their retries.
+pub fn marks_retries(params: Fields) -> Result<bool, Fault> {
+    let habits = params.optional("clientHabits", Fields::part)?;
+    let marks = habits.map(|habits| habits.optional("marksRetry", Fields::flag)).transpose()?;
+    Ok(marks.flatten().unwrap_or(false))
+}
+
 pub fn fleet(seed: u64, params: Fields) -> Result<Fleet, Fault> {
     let domain = params.part("domain")?;
-    let cores = domain.rows("kindCores")?.iter();
-    let memory = domain.rows("sizeMb")?.iter();
-    let number = |value: &Value| value.as_f64().unwrap_or(0.0);
+    let short = |domain, name: &_| one_of(domain, name, &["line_up", "cut", "overcommit"]);
+    let zones = params.optional("zones", Fields::list)?.map(<[_]>::len);
     Ok(Fleet {
         seed,
-        routers: params.index("instances")?,
-        home: params.index("myZone")?,
-        kinds: cores.zip(memory).map(|(c, m)| Kind { cores: number(c), memory_mb: number(m) }).collect(),
-        largest_share: domain.number("largestShare")?,
-        cuts_grants: domain.text("whenShort").is_ok_and(|what| what == "cut"),
+        routers: params.count("instances")?,
+        home: params.field("myZone")?.as_place(zones)?,
+        kinds: kinds(params, domain)?,
+        largest_share: domain.share("largestShare")?,
+        cuts_grants: domain.optional("whenShort", short)?.is_some_and(|what| what == "cut"),
         heeds_priorities: domain.flag("lanesCount")?,
-        note_every: domain.maybe_time("tellsEveryMs").filter(|every| !every.is_zero()),
-        probes_tell: params.part("report")?.text("how")? == "probe",
-        list_is_asked: params.text("discovery")? == "ask",
-        tick: params.time("tickMs")?,
+        note_every: domain.optional("tellsEveryMs", Fields::time)?.filter(|every| !every.is_zero()),
+        probes_tell: how(params.part("report")?)? == "probe",
+        list_is_asked: one_of(params, "discovery", &["push", "ask"])? == "ask",
+        tick: params.positive_time("tickMs")?,
     })
 }
 
+fn kinds(params: Fields, domain: Fields) -> Result<Vec<Kind>, Fault> {
+    let cores = domain.rows("kindCores")?;
+    if cores.len() == 0 {
+        return Err(domain.field("kindCores")?.fault("holds no kind"));
+    }
+    let memory = rows_of(domain, "sizeMb", cores.len(), "kind")?;
+    params.optional("kinds", |params, name| rows_of(params, name, cores.len(), "kind").map(drop))?;
+    let kind = |(cores, memory): (Fields, Fields)| {
+        Ok(Kind { cores: cores.as_positive()?, memory_mb: memory.as_positive()? })
+    };
+    cores.zip(memory).map(kind).collect()
+}
+
+/// A list with a row for each of so many.
+fn rows_of<'a>(
+    fields: Fields<'a>,
+    name: &str,
+    length: usize,
+    what: &str,
+) -> Result<impl ExactSizeIterator<Item = Fields<'a>>, Fault> {
+    let rows = fields.rows(name)?;
+    match rows.len() {
+        held if held == length => Ok(rows),
+        held => Err(fields.field(name)?.fault(format_args!("has {held} rows, not {length}, one a {what}"))),
+    }
+}
+
 pub fn traffic(params: Fields) -> Result<Vec<TrafficType>, Fault> {
     let domain = params.part("domain")?;
-    let listed = |name: &str, at: usize| domain.rows(name).ok().and_then(|rows| rows.get(at));
-    let holds = |name, at| listed(name, at).and_then(Value::as_bool).unwrap_or(false);
-    let read = |(at, value): (usize, &Value)| {
-        let row = Fields(value);
+    let (kinds, zones) =
+        (domain.list("kindCores")?.len(), params.optional("zones", Fields::list)?.map(<[_]>::len));
+    let rows = params.rows("categories")?;
+    let count = rows.len();
+    if count == 0 {
+        return Err(params.field("categories")?.fault("holds no class"));
+    }
+    let listed = |name| match domain.maybe(name) {
+        Some(_) => rows_of(domain, name, count, "class").map(|rows| rows.map(Some).collect()),
+        None => Ok(vec![None; count]),
+    };
+    let holds = |row: Option<Fields>| row.map_or(Ok(false), Fields::as_flag);
+    let (threads, writes, blocked) =
+        (listed("parallelism")?, listed("writesTables")?, listed("blockedByLoads")?);
+    let read = |(at, row): (usize, Fields)| {
         Ok(TrafficType {
-            target: row.time("onTimeMs")?,
-            target_stretch: row.maybe_number("aimStretch").unwrap_or(0.0),
-            patience: row.time("deadlineMs")?,
-            revenue: row.number("gain")?,
-            late_share: row.number("lateShare")?,
-            effect: match row.text("repeat")? {
+            target: row.positive_time("onTimeMs")?,
+            target_stretch: row.optional("aimStretch", Fields::not_negative)?.unwrap_or(0.0),
+            patience: row.positive_time("deadlineMs")?,
+            revenue: row.not_negative("gain")?,
+            late_share: row.share("lateShare")?,
+            effect: match one_of(row, "repeat", &["repeatable", "once", "by_key"])? {
                 "repeatable" => Effect::Replayable,
                 "once" => Effect::SingleUse,
-                "by_key" => Effect::Referenced {
-                    scope: match row.text("keyScope")? {
+                _ => Effect::Referenced {
+                    scope: match one_of(row, "keyScope", &["all", "zone", "cell"])? {
                         "all" => Scope::All,
                         "zone" => Scope::Location,
-                        "cell" => Scope::Cell,
-                        other => return Err(format!("unknown `keyScope` {other}")),
+                        _ => Scope::Cell,
                     },
                     window: row.time("windowMs")?,
                 },
-                other => return Err(format!("unknown `repeat` {other}")),
             },
-            keeps_order: row.maybe_flag("keepOrder"),
-            kinds: row.maybe_indices("allowedOn"),
-            locations: row.maybe_indices("zonesOpen"),
-            threads: listed("parallelism", at).and_then(Value::as_f64).unwrap_or(1.0),
-            holds_group: holds("writesTables", at),
-            waits_for_loads: holds("blockedByLoads", at),
+            keeps_order: row.optional("keepOrder", Fields::flag)?.unwrap_or(false),
+            kinds: row.optional("allowedOn", |row, name| row.places(name, Some(kinds)))?,
+            locations: row.optional("zonesOpen", |row, name| row.places(name, zones))?,
+            threads: threads[at].map_or(Ok(1.0), Fields::as_positive)?,
+            holds_group: holds(writes[at])?,
+            waits_for_loads: holds(blocked[at])?,
         })
     };
-    params.rows("categories")?.iter().enumerate().map(read).collect()
+    rows.enumerate().map(read).collect()
 }
 
 pub fn duties(params: Fields) -> Result<Duties, Fault> {
     let (caps, rules) = (params.part("caps")?, params.part("rules")?);
-    let budget = |over| {
-        Some(HopBudget {
-            spare: rules.maybe_number("spareAttempts").unwrap_or(0.0),
-            per_task: rules.maybe_number("extraPerRequest").unwrap_or(0.0),
-            over,
-        })
+    let over = rules.optional("countedOverMs", Fields::positive_time)?;
+    let extra = |name: &str| match (rules.optional(name, Fields::not_negative)?, over) {
+        (Some(_), None) => Err(rules.field(name)?.fault("stands without `countedOverMs`")),
+        (extra, _) => Ok(extra.unwrap_or(0.0)),
     };
+    let (spare, per_task) = (extra("spareAttempts")?, extra("extraPerRequest")?);
+    let longest = caps.optional("maxRetryAfterMs", Fields::time)?;
     Ok(Duties {
-        most_hops: caps.index("mostTries")?,
+        most_hops: caps.count("mostTries")?,
         may_cancel: caps.flag("cancel")?,
-        may_probe: caps.maybe_flag("probes"),
-        start_capacity: rules.number("startCapacity")?,
-        warm_up: rules.time("warmUpMs")?,
-        overload_factor: rules.number("overloadFactor")?,
-        fall: rules.time("fallMs")?,
-        key_rest: rules.maybe_time("keyQuietMs"),
-        hop_budget: rules.maybe_time("countedOverMs").and_then(budget),
-        longest_come_back: caps
-            .flag("retryAfter")?
-            .then(|| caps.maybe_number("maxRetryAfterMs").map(from_ms))
-            .flatten(),
+        may_probe: caps.optional("probes", Fields::flag)?.unwrap_or(false),
+        start_capacity: rules.share("startCapacity")?,
+        warm_up: rules.positive_time("warmUpMs")?,
+        overload_factor: rules.positive("overloadFactor")?,
+        fall: rules.positive_time("fallMs")?,
+        key_rest: rules.optional("keyQuietMs", Fields::time)?,
+        hop_budget: over.map(|over| HopBudget { spare, per_task, over }),
+        longest_come_back: caps.flag("retryAfter")?.then_some(longest).flatten(),
     })
 }
--- /dev/null
+++ b/crates/startup/tests/settings.rs
@@ -0,0 +1,265 @@
+//! Settings that contradict each other, name what is not known, or lack what a rule needs.
+
+use emberflow_startup::{Fields, duties, fleet, marks_retries, reported, traffic, unknown_reports};
+use expect_test::expect;
+use serde_json::{Value, json};
+
+fn settings() -> Value {
+    json!({
+        "caps": {"cancel": true, "maxRetryAfterMs": 2000.0, "mostTries": 3, "probes": false, "retryAfter": true},
+        "categories": [
+            {"aimStretch": 1.5, "deadlineMs": 6000.0, "gain": 1.0, "lateShare": 0.1, "name": "lookup",
+                "onTimeMs": 1200.0, "repeat": "repeatable"},
+            {"deadlineMs": 20000.0, "gain": 5.0, "keyScope": "all", "lateShare": 0.5, "name": "load",
+                "onTimeMs": 4000.0, "repeat": "by_key", "windowMs": 12000.0}],
+        "clientHabits": {"marksRetry": true},
+        "discovery": "push",
+        "domain": {"blockedByLoads": [true, false], "kindCores": [8, 16], "lanesCount": true, "largestShare": 0.4,
+            "parallelism": [1, 2], "sizeMb": [16384.0, 32768.0], "tellsEveryMs": 500.0, "whenShort": "line_up",
+            "writesTables": [false, true]},
+        "instances": 3,
+        "kinds": ["std-8", "std-16"],
+        "myZone": 0,
+        "report": {"how": "answers", "names": ["busy", "q", "x1", "x0"]},
+        "rules": {"countedOverMs": 5000.0, "extraPerRequest": 0.1, "fallMs": 1000.0, "overloadFactor": 2.5,
+            "spareAttempts": 3, "startCapacity": 0.33, "warmUpMs": 15000.0},
+        "tickMs": 5.0,
+        "zones": ["hall-a", "hall-b"]
+    })
+}
+
+/// The settings with other values at these places; null takes one away.
+fn with(changes: &[(&str, Value)]) -> Value {
+    let mut file = json!({"settings": settings()});
+    for (path, value) in changes {
+        let mut at = &mut file["settings"];
+        for step in path.split('/') {
+            at = match step.parse::<usize>() {
+                Ok(place) => &mut at[place],
+                Err(_) => &mut at[step],
+            };
+        }
+        *at = value.clone();
+    }
+    file
+}
+
+fn read(file: &Value) -> Result<(), String> {
+    let settings = Fields::of(file).part("settings")?;
+    fleet(1, settings)?;
+    traffic(settings)?;
+    duties(settings)?;
+    marks_retries(settings)?;
+    reported(settings)?;
+    Ok(())
+}
+
+fn faults(table: &[(&str, Value)]) -> String {
+    let fault = |(path, value): &(&str, Value)| {
+        let said = read(&with(&[(path, value.clone())])).err().unwrap_or("NO FAULT".into());
+        format!("{path} {value}: {said}\n")
+    };
+    table.iter().map(fault).collect()
+}
+
+#[test]
+fn figures_out_of_range_are_told_by_their_path() {
+    let positive = ["domain/kindCores/1", "domain/sizeMb/0", "domain/parallelism/1", "rules/overloadFactor"];
+    let times =
+        ["categories/0/onTimeMs", "categories/1/deadlineMs", "rules/fallMs", "tickMs", "rules/warmUpMs"];
+    let spans = ["domain/tellsEveryMs", "rules/keyQuietMs", "caps/maxRetryAfterMs", "categories/1/windowMs"];
+    let shares = ["rules/startCapacity", "domain/largestShare", "categories/1/lateShare"];
+    let amounts =
+        ["categories/0/gain", "categories/0/aimStretch", "rules/spareAttempts", "rules/extraPerRequest"];
+    let mut table = Vec::new();
+    positive
+        .into_iter()
+        .for_each(|path| table.extend([(path, json!(0)), (path, json!(-1.5)), (path, json!("8"))]));
+    times.into_iter().for_each(|path| table.extend([(path, json!(0)), (path, json!(-1)), (path, json!([]))]));
+    table.extend([("rules/countedOverMs", json!(0))]);
+    spans.into_iter().for_each(|path| table.extend([(path, json!(-0.5)), (path, json!("soon"))]));
+    shares.into_iter().for_each(|path| table.extend([(path, json!(-0.1)), (path, json!(1.01))]));
+    amounts.into_iter().for_each(|path| table.push((path, json!(-1))));
+    table.extend([("caps/mostTries", json!(0)), ("caps/mostTries", json!(1.5)), ("instances", json!(0))]);
+    expect![[r#"
+        domain/kindCores/1 0: `settings.domain.kindCores[1]` is not a number above 0
+        domain/kindCores/1 -1.5: `settings.domain.kindCores[1]` is not a number above 0
+        domain/kindCores/1 "8": `settings.domain.kindCores[1]` is not a number above 0
+        domain/sizeMb/0 0: `settings.domain.sizeMb[0]` is not a number above 0
+        domain/sizeMb/0 -1.5: `settings.domain.sizeMb[0]` is not a number above 0
+        domain/sizeMb/0 "8": `settings.domain.sizeMb[0]` is not a number above 0
+        domain/parallelism/1 0: `settings.domain.parallelism[1]` is not a number above 0
+        domain/parallelism/1 -1.5: `settings.domain.parallelism[1]` is not a number above 0
+        domain/parallelism/1 "8": `settings.domain.parallelism[1]` is not a number above 0
+        rules/overloadFactor 0: `settings.rules.overloadFactor` is not a number above 0
+        rules/overloadFactor -1.5: `settings.rules.overloadFactor` is not a number above 0
+        rules/overloadFactor "8": `settings.rules.overloadFactor` is not a number above 0
+        categories/0/onTimeMs 0: `settings.categories[0].onTimeMs` is not a time in milliseconds above 0
+        categories/0/onTimeMs -1: `settings.categories[0].onTimeMs` is not a time in milliseconds above 0
+        categories/0/onTimeMs []: `settings.categories[0].onTimeMs` is not a time in milliseconds above 0
+        categories/1/deadlineMs 0: `settings.categories[1].deadlineMs` is not a time in milliseconds above 0
+        categories/1/deadlineMs -1: `settings.categories[1].deadlineMs` is not a time in milliseconds above 0
+        categories/1/deadlineMs []: `settings.categories[1].deadlineMs` is not a time in milliseconds above 0
+        rules/fallMs 0: `settings.rules.fallMs` is not a time in milliseconds above 0
+        rules/fallMs -1: `settings.rules.fallMs` is not a time in milliseconds above 0
+        rules/fallMs []: `settings.rules.fallMs` is not a time in milliseconds above 0
+        tickMs 0: `settings.tickMs` is not a time in milliseconds above 0
+        tickMs -1: `settings.tickMs` is not a time in milliseconds above 0
+        tickMs []: `settings.tickMs` is not a time in milliseconds above 0
+        rules/warmUpMs 0: `settings.rules.warmUpMs` is not a time in milliseconds above 0
+        rules/warmUpMs -1: `settings.rules.warmUpMs` is not a time in milliseconds above 0
+        rules/warmUpMs []: `settings.rules.warmUpMs` is not a time in milliseconds above 0
+        rules/countedOverMs 0: `settings.rules.countedOverMs` is not a time in milliseconds above 0
+        domain/tellsEveryMs -0.5: `settings.domain.tellsEveryMs` is not a time in milliseconds
+        domain/tellsEveryMs "soon": `settings.domain.tellsEveryMs` is not a time in milliseconds
+        rules/keyQuietMs -0.5: `settings.rules.keyQuietMs` is not a time in milliseconds
+        rules/keyQuietMs "soon": `settings.rules.keyQuietMs` is not a time in milliseconds
+        caps/maxRetryAfterMs -0.5: `settings.caps.maxRetryAfterMs` is not a time in milliseconds
+        caps/maxRetryAfterMs "soon": `settings.caps.maxRetryAfterMs` is not a time in milliseconds
+        categories/1/windowMs -0.5: `settings.categories[1].windowMs` is not a time in milliseconds
+        categories/1/windowMs "soon": `settings.categories[1].windowMs` is not a time in milliseconds
+        rules/startCapacity -0.1: `settings.rules.startCapacity` is not a number from 0 to 1
+        rules/startCapacity 1.01: `settings.rules.startCapacity` is not a number from 0 to 1
+        domain/largestShare -0.1: `settings.domain.largestShare` is not a number from 0 to 1
+        domain/largestShare 1.01: `settings.domain.largestShare` is not a number from 0 to 1
+        categories/1/lateShare -0.1: `settings.categories[1].lateShare` is not a number from 0 to 1
+        categories/1/lateShare 1.01: `settings.categories[1].lateShare` is not a number from 0 to 1
+        categories/0/gain -1: `settings.categories[0].gain` is not a number from 0 up
+        categories/0/aimStretch -1: `settings.categories[0].aimStretch` is not a number from 0 up
+        rules/spareAttempts -1: `settings.rules.spareAttempts` is not a number from 0 up
+        rules/extraPerRequest -1: `settings.rules.extraPerRequest` is not a number from 0 up
+        caps/mostTries 0: `settings.caps.mostTries` is not a whole number from 1 up
+        caps/mostTries 1.5: `settings.caps.mostTries` is not a whole number from 1 up
+        instances 0: `settings.instances` is not a whole number from 1 up
+    "#]]
+    .assert_eq(&faults(&table));
+}
+
+#[test]
+fn what_is_not_known_is_told_by_its_path() {
+    expect![[r#"
+        categories/0/repeat "maybe": `settings.categories[0].repeat` is unknown: maybe
+        categories/1/keyScope "galaxy": `settings.categories[1].keyScope` is unknown: galaxy
+        discovery "pull": `settings.discovery` is unknown: pull
+        domain/whenShort "wait": `settings.domain.whenShort` is unknown: wait
+        report/how "pigeon": `settings.report.how` is unknown: pigeon
+        report/names/2 7: `settings.report.names[2]` is not text
+        myZone 2: `settings.myZone` is 2, past the end of a list of 2
+        categories/0/allowedOn [0,2]: `settings.categories[0].allowedOn[1]` is 2, past the end of a list of 2
+        categories/0/allowedOn ["std-8"]: `settings.categories[0].allowedOn[0]` is not an index
+        categories/1/zonesOpen [5]: `settings.categories[1].zonesOpen[0]` is 5, past the end of a list of 2
+        categories/1/zonesOpen [1,-1]: `settings.categories[1].zonesOpen[1]` is not an index
+    "#]]
+    .assert_eq(&faults(&[
+        ("categories/0/repeat", json!("maybe")),
+        ("categories/1/keyScope", json!("galaxy")),
+        ("discovery", json!("pull")),
+        ("domain/whenShort", json!("wait")),
+        ("report/how", json!("pigeon")),
+        ("report/names/2", json!(7)),
+        ("myZone", json!(2)),
+        ("categories/0/allowedOn", json!([0, 2])),
+        ("categories/0/allowedOn", json!(["std-8"])),
+        ("categories/1/zonesOpen", json!([5])),
+        ("categories/1/zonesOpen", json!([1, -1])),
+    ]));
+}
+
+#[test]
+fn what_is_missing_or_of_another_kind_is_told_by_its_path() {
+    expect![[r#"
+        categories []: `settings.categories` holds no class
+        categories/1 "load": `settings.categories[1].onTimeMs` is missing
+        categories/1/keyScope null: `settings.categories[1].keyScope` is missing
+        categories/1/windowMs null: `settings.categories[1].windowMs` is missing
+        categories/1/keepOrder "yes": `settings.categories[1].keepOrder` is not true or false
+        caps null: `settings.caps` is missing
+        caps/probes 0: `settings.caps.probes` is not true or false
+        clientHabits true: `settings.clientHabits` is not an object
+        clientHabits/marksRetry 1: `settings.clientHabits.marksRetry` is not true or false
+        domain/lanesCount null: `settings.domain.lanesCount` is missing
+        report/names null: `settings.report.names` is missing
+        report/how null: `settings.report.how` is missing
+        rules/fallMs null: `settings.rules.fallMs` is missing
+    "#]]
+    .assert_eq(&faults(&[
+        ("categories", json!([])),
+        ("categories/1", json!("load")),
+        ("categories/1/keyScope", json!(null)),
+        ("categories/1/windowMs", json!(null)),
+        ("categories/1/keepOrder", json!("yes")),
+        ("caps", json!(null)),
+        ("caps/probes", json!(0)),
+        ("clientHabits", json!(true)),
+        ("clientHabits/marksRetry", json!(1)),
+        ("domain/lanesCount", json!(null)),
+        ("report/names", json!(null)),
+        ("report/how", json!(null)),
+        ("rules/fallMs", json!(null)),
+    ]));
+}
+
+#[test]
+fn lists_that_do_not_fit_together_and_rules_by_half_are_told_by_their_path() {
+    expect![[r#"
+        domain/kindCores []: `settings.domain.kindCores` holds no kind
+        domain/sizeMb [16384.0]: `settings.domain.sizeMb` has 1 rows, not 2, one a kind
+        kinds ["std-8"]: `settings.kinds` has 1 rows, not 2, one a kind
+        domain/parallelism [1]: `settings.domain.parallelism` has 1 rows, not 2, one a class
+        domain/writesTables [true,false,true]: `settings.domain.writesTables` has 3 rows, not 2, one a class
+        domain/blockedByLoads []: `settings.domain.blockedByLoads` has 0 rows, not 2, one a class
+        domain/blockedByLoads/1 1: `settings.domain.blockedByLoads[1]` is not true or false
+        rules/countedOverMs null: `settings.rules.spareAttempts` stands without `countedOverMs`
+        rules {"extraPerRequest":0,"fallMs":1,"overloadFactor":2,"startCapacity":0,"warmUpMs":1}: `settings.rules.extraPerRequest` stands without `countedOverMs`
+    "#]].assert_eq(&faults(&[
+        ("domain/kindCores", json!([])),
+        ("domain/sizeMb", json!([16384.0])),
+        ("kinds", json!(["std-8"])),
+        ("domain/parallelism", json!([1])),
+        ("domain/writesTables", json!([true, false, true])),
+        ("domain/blockedByLoads", json!([])),
+        ("domain/blockedByLoads/1", json!(1)),
+        ("rules/countedOverMs", json!(null)),
+        ("rules", json!({"extraPerRequest": 0, "fallMs": 1, "overloadFactor": 2, "startCapacity": 0, "warmUpMs": 1})),
+    ]));
+}
+
+#[test]
+fn what_only_looks_odd_is_taken() {
+    let taken = [
+        vec![],
+        vec![("categories/0/keepOrder", json!(true))],
+        vec![("rules/keyQuietMs", json!(300))],
+        vec![("rules/keyQuietMs", json!(0))],
+        vec![("rules/spareAttempts", json!(null)), ("rules/extraPerRequest", json!(null))],
+        vec![("rules/spareAttempts", json!(null))],
+        vec![("report", json!({"how": "probe", "names": ["rif"]}))],
+        vec![("report", json!({"how": "none"}))],
+        vec![("report/names", json!([]))],
+        vec![("report/names/0", json!("moon"))],
+        vec![("zones", json!(null)), ("kinds", json!(null)), ("categories/0/zonesOpen", json!([4]))],
+        vec![("categories/0/allowedOn", json!([1])), ("categories/0/zonesOpen", json!([1, 0]))],
+        vec![("domain/parallelism", json!(null)), ("domain/whenShort", json!(null))],
+        vec![("domain/tellsEveryMs", json!(0)), ("categories/1/windowMs", json!(0))],
+        vec![("clientHabits", json!(null)), ("caps/maxRetryAfterMs", json!(null))],
+        vec![("rules/startCapacity", json!(1)), ("categories/0/lateShare", json!(0))],
+        vec![("unheard", json!({"of": 1})), ("rules/unheard", json!("of"))],
+    ];
+    for changes in taken {
+        assert_eq!(read(&with(&changes)), Ok(()), "{changes:?}");
+    }
+}
+
+#[test]
+fn report_fields_that_nothing_reads_are_told_unless_their_names_are_known() {
+    let told = |how: &str, names: &[&str]| {
+        let file = with(&[("report", json!({"how": how, "names": names}))]);
+        unknown_reports(Fields::of(&file).part("settings").expect("settings")).expect("it reads")
+    };
+    for known in ["rif", "q", "busy", "lat_ms", "rate", "fail_rate", "x0", "x1", "inflight", "queue", "util"]
+    {
+        assert_eq!(told("answers", &[known]), [] as [&str; 0], "{known}");
+    }
+    assert_eq!(told("none", &["moon"]), [] as [&str; 0]);
+    assert_eq!(told("probe", &["q", "moon"]), ["`settings.report.names[1]` is unknown: moon"]);
+}
--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -3,7 +3,9 @@
 use emberflow::{
     Arrival, Bill, Ended, EngineId, HopEnd, KeyId, Listing, Notice, Outlet, Router, Signals, TaskId,
 };
-use emberflow_startup::{Fault, Fields, duties, fleet, load, reported, to_ms, traffic};
+use emberflow_startup::{
+    Fault, Fields, duties, fleet, from_ms, load, marks_retries, reported, to_ms, traffic,
+};
 use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::io::Write;
@@ -96,7 +98,7 @@
         let params = line.part("params")?;
         let reported = reported(params)?;
         let router = Router::new(fleet(line.whole("rngSeed")?, params)?, traffic(params)?, duties(params)?);
-        let marks_retries = params.part("clientHabits").is_ok_and(|habits| habits.maybe_flag("marksRetry"));
+        let marks_retries = marks_retries(params)?;
         Ok(Self { who, router, reported, marks_retries, names: Names::default() })
     }
 
@@ -121,7 +123,7 @@
                     return Ok(());
                 }
                 let rows = tables.get(&line.whole("ref")?).ok_or("`ref` names no table")?;
-                let listings = rows.iter().map(|row| listing(Fields(row), &mut names.engines));
+                let listings = rows.iter().map(|row| listing(Fields::of(row), &mut names.engines));
                 let listings = listings.collect::<Result<Vec<_>, Fault>>()?;
                 let out = &mut Writer { who: *who, now, names, reply };
                 router.engines_changed(now, mode != "patch", listings, out);
@@ -136,7 +138,7 @@
                     },
                     cost: line.maybe_time("estimateMs").filter(|cost| !cost.is_zero()),
                     memory_mb: line.maybe_number("needMb").filter(|need| *need > 0.0),
-                    patience: line.time("graceMs")?,
+                    patience: from_ms(line.number("graceMs")?),
                     waited: Duration::ZERO,
                     later_try: marks_retries.then(|| line.maybe_flag("repeat")),
                     group: line.maybe_number("tableGroup").map(|g| g as u64),
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -2,9 +2,9 @@
 
 mod instance;
 
-use emberflow_startup::{Fault, Fields};
+use emberflow_startup::{Fault, Fields, unknown_reports};
 use instance::Instance;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::{BufRead, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
@@ -20,12 +20,14 @@
     batch: Option<(Duration, u64)>,
     reply: Vec<u8>,
     fault: Option<u64>,
+    /// What was told once and for all on standard error.
+    told: BTreeSet<String>,
 }
 
 impl Host {
     fn line(&mut self, text: &str, output: &mut impl Write) -> Result<(), Fault> {
         let value = serde_json::from_str(text).map_err(|e| format!("malformed JSON: {e}"))?;
-        let line = Fields(&value);
+        let line = Fields::of(&value);
         match (line.text("op")?, self.batch) {
             ("BEGIN_BATCH", None) => {
                 self.batch = Some((line.time("atTimeMs")?, line.whole("frame")?));
@@ -35,7 +37,7 @@
             (op, None) => Err(format!("`{op}` outside a batch")),
             ("END", Some((_, frame))) => self.finish(frame, output),
             ("TABLE", Some(_)) => {
-                self.tables.insert(line.whole("ref")?, line.rows("items")?.to_vec());
+                self.tables.insert(line.whole("ref")?, line.list("items")?.to_vec());
                 Ok(())
             }
             (op, Some((now, _))) => self.event(op, line, now),
@@ -47,6 +49,13 @@
         if self.fault.is_some() {
             return Ok(());
         }
+        if op == "NEW_INSTANCE" {
+            for unread in unknown_reports(line.part("params")?)? {
+                if self.told.insert(unread.clone()) {
+                    eprintln!("emberflow-wirehost: {unread}, so it goes unread");
+                }
+            }
+        }
         let (instances, tables, reply) = (&mut self.instances, &self.tables, &mut self.reply);
         let done = catch_unwind(AssertUnwindSafe(|| match op {
             "NEW_INSTANCE" => {
--- a/crates/wirehost/tests/input.rs
+++ b/crates/wirehost/tests/input.rs
@@ -23,6 +23,16 @@
 "report":{"how":"none","names":[]},"rules":{"fallMs":1000.0,"overloadFactor":2.5,"startCapacity":0.3,"warmUpMs":9.0},
 "tenants":[],"tickMs":5.0,"unheard":{"of":1}}"#;
 
+/// Instances that start with these settings.
+fn started(params: &[String]) -> String {
+    let line = |(who, params): (usize, &String)| {
+        format!(r#"{{"op":"NEW_INSTANCE","who":{who},"rngSeed":5,"params":{}}}"#, params.replace('\n', ""))
+            + "\n"
+    };
+    let lines: String = params.iter().enumerate().map(line).collect();
+    run(&format!("{{\"op\":\"BEGIN_BATCH\",\"atTimeMs\":10.0,\"frame\":1}}\n{lines}{{\"op\":\"END\"}}\n"))
+}
+
 fn day(events: &str) -> String {
     let params = PARAMS.replace('\n', "");
     run(&format!(
@@ -95,3 +105,39 @@
     "#]]
     .assert_eq(&run("{\"op\":\"BEGIN_BATCH\",\"atTimeMs\":1,\"frame\":1}\n"));
 }
+
+#[test]
+fn settings_that_make_no_sense_are_named_by_their_path_and_nothing_starts() {
+    let changes = [
+        (r#""fallMs":1000.0,"#, ""),
+        (r#""repeat":"once""#, r#""repeat":"by_key","windowMs":5,"keyScope":"galaxy""#),
+        (r#""sizeMb":[16384.0]"#, r#""sizeMb":[16384.0,1.0]"#),
+        (r#""how":"none","names":[]"#, r#""how":"answers","names":["q",7]"#),
+        (r#""tickMs":5.0"#, r#""tickMs":-5.0"#),
+    ];
+    let said: String = changes.map(|(from, to)| started(&[PARAMS.replace(from, to)])).concat();
+    expect![[r#"
+        emberflow-wirehost: line 2: `params.rules.fallMs` is missing
+        ended well: false
+        emberflow-wirehost: line 2: `params.categories[0].keyScope` is unknown: galaxy
+        ended well: false
+        emberflow-wirehost: line 2: `params.domain.sizeMb` has 2 rows, not 1, one a kind
+        ended well: false
+        emberflow-wirehost: line 2: `params.report.names[1]` is not text
+        ended well: false
+        emberflow-wirehost: line 2: `params.tickMs` is not a time in milliseconds above 0
+        ended well: false
+    "#]]
+    .assert_eq(&said);
+}
+
+#[test]
+fn a_report_field_of_unknown_name_is_told_once() {
+    let params = PARAMS.replace(r#""how":"none","names":[]"#, r#""how":"answers","names":["q","moon"]"#);
+    expect![[r#"
+        {"frame":1,"op":"READY"}
+        emberflow-wirehost: `params.report.names[1]` is unknown: moon, so it goes unread
+        ended well: true
+    "#]]
+    .assert_eq(&started(&[params.clone(), params]));
+}
