What a client took back before its turn came is not sent on

Seen: a test that forces it. A client does not read its answers, so it is not read from; it asks, and withdraws that. Once it read on, 150 ms later, the request was sent all the same (sent then: [1001, 1002, 1003], 1002 withdrawn): each line was heard by itself, and Clients::glance looked ahead only where a request was open (clients.rs, its first return). Ruled out: with no connection to the engine free the dial hid it, as the withdrawal was heard before the call was written. Change: what stands behind the line that is heard is looked through once, and a request that is taken back there is counted in tasks_withdrawn and not taken in. Lines already read make a client's socket be looked at ahead as well.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -4,7 +4,7 @@
 use crate::ring::{Filled, Ring};
 use crate::slots::{Slot, Slots};
 use emberflow::TaskId;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::hash::{Hash, Hasher};
 use std::io::{Read, Result as Done, Write};
 use std::time::Duration;
@@ -28,6 +28,10 @@
     /// that it has stopped waiting.
     scanned: usize,
     glanced: usize,
+    /// What it has taken back in lines that were not heard yet, by where they end among all that came; and up to
+    /// where all that came was looked through.
+    taken_back: VecDeque<(u64, Withdrawal)>,
+    looked: u64,
     /// By the id on this connection.
     pub open: BTreeMap<u64, TaskId>,
     /// It has said something.
@@ -51,6 +55,32 @@
     fn pass(&mut self, length: usize) {
         self.input.consume(length);
         self.glanced = self.glanced.saturating_sub(length);
+        while self.taken_back.front().is_some_and(|(end, _)| *end <= self.input.passed()) {
+            self.taken_back.pop_front();
+        }
+    }
+
+    /// Looks through what has come since, up to the last line's end, for what it takes back.
+    fn look_ahead(&mut self) -> Vec<Withdrawal> {
+        if self.looked == self.input.end() {
+            return Vec::new();
+        }
+        self.looked = self.input.end();
+        if self.deaf {
+            self.glanced = self.input.len();
+        }
+        let (mut at, mut found) = (self.input.passed() + self.glanced as u64, Vec::new());
+        let rest = &self.input.readable()[self.glanced..];
+        let whole = rest.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
+        for line in rest[..whole].split_inclusive(|byte| *byte == b'\n') {
+            at += line.len() as u64;
+            if let Some(named) = jsonrpc::withdrawn(line) {
+                self.taken_back.push_back((at, named.clone()));
+                found.push(named);
+            }
+        }
+        self.glanced += whole;
+        found
     }
 
     /// Nothing more is taken from it.
@@ -120,6 +150,8 @@
             output,
             scanned: 0,
             glanced: 0,
+            taken_back: VecDeque::new(),
+            looked: 0,
             open,
             heard: false,
             active: now,
@@ -224,14 +256,14 @@
         }
     }
 
-    /// Looks ahead through what has come from a client with tasks open, before its turn: whether it has stopped
-    /// waiting for some, or is gone. Guards against tasks that were sent on for nobody while that stood unread
+    /// Looks ahead through what has come from a client with tasks open or lines not heard, before its turn: whether
+    /// it has stopped waiting for some, or is gone. Guards against tasks that were sent on for nobody while that stood unread
     /// behind other lines, floods of others or its own unread answers.
     pub fn glance(&mut self, slot: Slot, (now, since): (Duration, Duration), from: &mut impl Read) -> Glance {
         let mut seen = Glance::default();
         let most = self.most_bytes;
         let Some(client) = self.table.get_mut(slot).filter(|client| !client.shut) else { return seen };
-        if client.open.is_empty() {
+        if client.open.is_empty() && client.input.is_empty() {
             return seen;
         }
         let before = client.input.len();
@@ -246,15 +278,24 @@
                 client.active = now;
             }
         }
-        let glanced = if client.deaf { client.input.len() } else { client.glanced };
-        let rest = &client.input.readable()[glanced..];
-        let whole = rest.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
-        let lines = rest[..whole].split(|byte| *byte == b'\n');
-        seen.withdrawn.extend(lines.filter_map(jsonrpc::withdrawn));
-        client.glanced = glanced + whole;
+        seen.withdrawn = client.look_ahead();
         seen
     }
 
+    /// What a client takes back behind the line that was heard last, as far as that was not known yet.
+    pub fn look_ahead(&mut self, slot: Slot) -> Vec<Withdrawal> {
+        self.table.get_mut(slot).map(Client::look_ahead).unwrap_or_default()
+    }
+
+    /// Whether a request is taken back behind the line that was heard last: by its `req`, or by its id where no
+    /// `req` is named.
+    pub fn takes_back(&self, slot: Slot, req: &str, id: u64) -> bool {
+        let names = |(named, by_id): &Withdrawal| {
+            if named.is_empty() { *by_id == Some(id) } else { named == req }
+        };
+        self.table.get(slot).is_some_and(|client| client.taken_back.iter().any(|(_, named)| names(named)))
+    }
+
     /// Whether a client's input was seen to end longer ago than what crosses an end may take.
     pub fn has_left(&self, slot: Slot, now: Duration) -> bool {
         let ended = self.table.get(slot).and_then(|client| client.ended);
@@ -308,6 +349,9 @@
             (client.heard, since(active), since(client.due), client.deaf, client.shut).hash(into);
             let ended = client.ended.map(|at| since(at.max(now.saturating_sub(CROSSING * 2))));
             (client.glanced, ended.filter(|_| !client.shut)).hash(into);
+            let passed = client.input.passed();
+            client.taken_back.iter().for_each(|(end, named)| (end - passed, named).hash(into));
+            (client.input.end() - client.looked).hash(into);
             (!client.input.is_empty()).then(|| since(client.came)).hash(into);
         }
     }
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -202,6 +202,12 @@
         let now = self.floor.works.now();
         match self.floor.clients.hear(slot, (now, since), from, failed) {
             Heard::Line(line, came) => {
+                let taken_back = self.floor.clients.look_ahead(slot);
+                let open = taken_back.iter().filter_map(|named| self.named(slot, named));
+                let open: Vec<_> = open.collect();
+                if !open.is_empty() {
+                    self.clients_left(open, Vec::new());
+                }
                 if let Err((id, code, message)) = self.line(slot, &line, now.saturating_sub(came)) {
                     self.object(slot, id, code, &message);
                 }
@@ -334,6 +340,12 @@
         if self.floor.clients.has_left(slot, now) {
             return Err((id, jsonrpc::BOUNCED, "its client has left".into()));
         }
+        // Guards against tasks sent on for nobody: its client had taken it back before its turn came.
+        if self.floor.clients.takes_back(slot, req, number) {
+            self.floor.works.counters.count("tasks_withdrawn");
+            log::debug!("task {req} of client {slot:?}: withdrawn before it was heard");
+            return Ok(());
+        }
         // Engines tell tasks apart by it alone, whoever asks.
         if self.floor.tasks.holds(req) {
             return invalid(id, "`req` is open already");
--- a/crates/router/tests/sockets/ending.rs
+++ b/crates/router/tests/sockets/ending.rs
@@ -93,6 +93,59 @@
     .assert_eq(&house.end(&["tasks_bounced", "tasks_succeeded", "tasks_withdrawn"]));
 }
 
+/// A client reads nothing, so nothing more is heard of it: meanwhile it asks for something and takes that back, and
+/// both stand in its socket once it reads on.
+#[test]
+fn what_is_taken_back_before_its_turn_is_sent_for_nobody() {
+    let mut house = House::open_within((64, 4096), "taken-back", 1, &settings(5000, 60_000));
+    let (mut client, mut engine) = (house.client(), house.engine(0));
+    // As many connections to the engine as the tasks at the end find free.
+    for id in 2001..=2004 {
+        client.ask(id, "lookup", 60_000);
+    }
+    (0..4).for_each(|_| drop(engine.call()));
+    (2001..=2004).for_each(|id| engine.say(id, "HIT", "pages=1", ROWS));
+    (0..4).for_each(|_| drop(client.hear()));
+    let rows = ROWS.repeat(7500);
+    let mut asked = 0;
+    loop {
+        asked += 1;
+        client.ask(asked, "lookup", 60_000);
+        if asked == 500 || !engine.has_within(Duration::from_millis(400)) {
+            break;
+        }
+        engine.hear();
+        engine.say(asked, "HIT", "pages=1", &rows);
+    }
+    house.note(format!("waits for its reader: {}", asked < 500));
+    let taken_back = withdraw(1002) + "\n";
+    let lines = [1002, 1001, 1003].map(|id| Client::line("", id, "lookup", 60_000));
+    client.say((lines.concat() + &taken_back).trim_end());
+    // Longer than a withdrawal may take to be heeded.
+    std::thread::sleep(Duration::from_millis(150));
+    let whole = (1..asked).all(|_| client.hear().contains(r#""result""#));
+    house.note(format!("all answers whole: {whole}"));
+    let mut sent = calls(&mut engine, 3);
+    sent.retain(|id| *id != asked);
+    sent.sort_unstable();
+    house.note(format!("sent then: {sent:?}"));
+    let answers = (0..3).filter(|_| client.hear().contains("YQliCWMK")).count();
+    house.note(format!("answers: {answers}"));
+    expect![[r#"
+        waits for its reader: true
+        all answers whole: true
+        sent then: [1001, 1003]
+        answers: 3
+        ended with Some(0): tasks_withdrawn=1
+    "#]]
+    .assert_eq(&house.end(&[
+        "tasks_withdrawn",
+        "tasks_withdrawn_unheard",
+        "tasks_bounced",
+        "tasks_given_up",
+    ]));
+}
+
 /// A connection that was silent for long is asked to show that it works: what waits for that has its client leave,
 /// its engine drain, or left out of a whole list, in the instant of the answer.
 #[test]
@@ -460,3 +513,30 @@
     "#]]
     .assert_eq(&house.end(&["tasks_bounced", "tasks_succeeded", "tasks_withdrawn"]));
 }
+
+/// A task that is known to wait at the door is taken back in the instant in which it would be handed on.
+#[test]
+fn what_waits_at_the_teams_door_is_handed_on_for_nobody_once_it_is_taken_back() {
+    const ORDERS: &str = "{teams: {list: [{name: 'audit', share: 1, \
+                          budget: {work_s: 1, per_s: 60, burst_s: 1}}]}}";
+    let mut house = House::open_ordered("door-taken", 1, &leisure(), ORDERS);
+    let (mut client, mut engine) = (house.client(), house.engine(0));
+    for id in 1..=3 {
+        client.ask_much("audit", id, 60_000, "");
+        is_heard(&mut client);
+    }
+    let first = engine.takes(&mut house);
+    house.meanwhile(|_| {
+        engine.say(first, "HIT", "pages=1", ROWS);
+        client.say(&(withdraw(2) + "\n" + &withdraw(3)));
+    });
+    house.note(client.hear()).note(format!("sent then: {:?}", calls(&mut engine, 0)));
+    std::fs::remove_file(house.file.0.with_extension("json5")).expect("its file");
+    expect![[r#"
+        GET 0000000000000001 queue=lookup,mem=6554,prio=2 select 1
+        {"jsonrpc":"2.0","id":1,"result":{"data":"YQliCWMK"}}
+        sent then: []
+        ended with Some(0): tasks_succeeded=1 tasks_withdrawn=2
+    "#]]
+    .assert_eq(&house.end(&["tasks_bounced", "tasks_succeeded", "tasks_withdrawn"]));
+}
