A crowd of idle clients while discovery is down and returns: the crossing is forced

Need: no test forced it. 22 idle clients come at a router that has room for 12 as discovery is down; then it returns and tells a drain. Change: a test and its row. No fault was found.

--- a/crates/router/tests/sockets/ending.rs
+++ b/crates/router/tests/sockets/ending.rs
@@ -481,6 +481,58 @@
     .assert_eq(&house.end(&["hops_taken_back", "hops_withdrawn", "links_silent"]));
 }
 
+/// Idle clients take all the room there is while discovery is down, and it returns in the same instant: the list is
+/// still asked, what is open is answered, and a client that comes then is served by the engine that does not drain.
+#[test]
+fn a_crowd_of_idle_clients_keeps_nobody_from_the_list_that_returns() {
+    let mut house = House::open_within((64, 24), "returns", 2, &leisure());
+    let (old, mut waits) = (house.bulletin(), house.client());
+    let addresses: Vec<_> = house.engines.iter().map(|e| e.local_addr().expect("an address")).collect();
+    waits.ask(1, "lookup", 60_000);
+    let mut engines = house.any_engine();
+    engines[0].call();
+    let drains = engines[0].listener.local_addr().expect("an address");
+    let number = addresses.iter().position(|at| *at == drains).expect("one of them") as u32;
+    let at = house.bulletin.local_addr().expect("an address");
+    let elsewhere = TcpListener::bind((at.ip(), 0)).expect("a port");
+    drop(std::mem::replace(&mut house.bulletin, elsewhere));
+    drop(old);
+    house.logs("bulletin: ");
+    let crowd = house.meanwhile(|house| {
+        let crowd: Vec<_> = (0..22).map(|_| house.client()).collect();
+        crowd.iter().for_each(|client| {
+            let status = b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"status\"}\n";
+            client.0.get_ref().write_all(status).expect("it reads");
+        });
+        crowd
+    });
+    house.bulletin = TcpListener::bind(at).expect("its port");
+    let mut list = house.bulletin();
+    list.write_all(&changes(2, &[(number, drains, 1, 0)])).expect("it reads");
+    house.logs("event 2");
+    let mut new = house.client();
+    new.ask(2, "lookup", 60_000);
+    house.note(engines[1].call());
+    engines[1].say(2, "HIT", "pages=1", ROWS);
+    engines[0].say(1, "HIT", "pages=1", ROWS);
+    house.note(new.hear()).note(waits.hear());
+    drop(crowd);
+    expect![[r#"
+        bulletin after 1
+        bulletin after 1
+        GET 0000000000000002 queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":2,"result":{"data":"YQliCWMK"}}
+        {"jsonrpc":"2.0","id":1,"result":{"data":"YQliCWMK"}}
+        ended with Some(0): clients_closed_for_room=12 tasks_succeeded=2
+    "#]]
+    .assert_eq(&house.end(&[
+        "tasks_succeeded",
+        "tasks_withdrawn",
+        "accepts_failed",
+        "clients_closed_for_room",
+    ]));
+}
+
 /// One team's tasks wait at the door; the client of one shuts its side, and closes.
 #[test]
 fn what_waits_at_the_teams_door_is_bounced_once_its_client_has_left() {
