--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -271,6 +271,12 @@
         self.hop_ended(Ended { task, hop, engine, end, took, bill: None, signals: told, over: true })
     }
 
+    /// A success with its bill; what is told of load is left out.
+    pub fn billed(&mut self, task: TaskId, engine: EngineId, cost: u64, memory_mb: f64) -> &mut Self {
+        let (end, bill) = (HopEnd::Succeeded, Some(Bill { cost: ms(cost), memory_mb }));
+        self.hop_ended(Ended { task, hop: 0, engine, end, took: ms(cost), bill, signals: None, over: true })
+    }
+
     pub fn notice(&mut self, task: TaskId, hop: usize, notice: Notice) -> &mut Self {
         self.router.notice(ms(self.lines.1), task, hop, notice, &mut self.lines);
         self
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -709,3 +709,22 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn a_billed_task_that_was_costly_does_not_make_its_engine_look_slow() {
+    let mut trace = Trace::new(1, |_, _, _| {});
+    trace.accept(0, 0, 0.0).at(50).billed(0, 0, 50, 100.0);
+    trace.at(5000).accept(0, 0, 0.0).at(7000).billed(1, 0, 2000, 100.0);
+    trace.accept(0, 0, 0.0).accept(0, 0, 0.0).wait(7100);
+    expect![[r#"
+        0     task 0 gets 0 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        5000  task 1 gets 125 MB, priority 1
+        5000  task 1 to engine 0 until 12980
+        7000  task 2 gets 125 MB, priority 1
+        7000  task 2 to engine 0 until 14980
+        7000  task 3 gets 125 MB, priority 1
+        7000  task 3 to engine 0 until 14980
+    "#]]
+    .assert_eq(&trace.decided());
+}
