A hop whose notes have stopped takes no room in the guess of an engine's load

Seen: with answers that never come (Q, 17 to 34% of them for half a minute) and no cancel, a hop whose work is long done stays out until patience ends, up to 25 s for a report. Line at fault: own(). Change: own() leaves out hops of which no note came for four note intervals (the test that took single hops back, now in one place, lost()). Limits per engine and per tier still count them. Guards against stuck and lost answers whatever their cause; harms where notes are late: such hops look over.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -377,9 +377,15 @@
         self.shares.mean().map_or(equal, |seen| seen.clamp(equal / 4.0, 1.0))
     }
 
+    /// Whether notes of a hop have stopped: it is over and its answer lost, or it stands at a silent engine.
+    fn lost(&self, now: Duration, out: &Out) -> bool {
+        let from = self.fleet.note_every.map(|every| now.saturating_sub(every * 4));
+        from.is_some_and(|from| self.tasks[&out.task].hops[out.hop].heard < from)
+    }
+
     /// MB and threads that this router has out at an engine, of hops sent since `from`.
-    fn own(&self, id: EngineId, from: Duration) -> (f64, f64) {
-        let hops = self.engines[&id].out.iter().filter(|out| out.sent >= from);
+    fn own(&self, now: Duration, id: EngineId, from: Duration) -> (f64, f64) {
+        let hops = self.engines[&id].out.iter().filter(|out| out.sent >= from && !self.lost(now, out));
         hops.map(|out| (out.grant, out.threads)).fold((0.0, 0.0), add)
     }
 
@@ -413,12 +419,12 @@
             engines.values_mut().for_each(|seen| seen.pressed = seen.pressed.or(Some(true)));
         }
         let (share, kinds) = (self.share(), 0..if held { self.fleet.kinds.len() } else { 0 });
-        let gateways = kinds.map(|kind| self.gateway(kind, share, &engines)).collect();
+        let gateways = kinds.map(|kind| self.gateway(now, kind, share, &engines)).collect();
         Sight { runs, share, engines, gateways }
     }
 
     /// The target moves with the pressure that the kind's engines show, from half to 1.5 of its start.
-    fn gateway(&self, kind: usize, share: f64, seen: &BTreeMap<EngineId, Seen>) -> Gateway {
+    fn gateway(&self, now: Duration, kind: usize, share: f64, seen: &BTreeMap<EngineId, Seen>) -> Gateway {
         let Kind { cores, memory_mb } = self.fleet.kinds[kind];
         let engines = || self.engines.iter().filter(|(_, engine)| engine.kind == kind && engine.ready);
         let mood = |id| match seen[id].pressed {
@@ -428,7 +434,8 @@
         };
         let swing = 1.0 + mean(engines().map(|(id, _)| mood(id))).unwrap_or(0.0) / 2.0;
         let count = |tier| engines().flat_map(|(_, e)| &e.out).filter(|out| out.tier == tier).count() as f64;
-        let (memory, threads) = engines().map(|(id, _)| self.own(*id, Duration::ZERO)).fold((0.0, 0.0), add);
+        let (memory, threads) =
+            engines().map(|(id, _)| self.own(now, *id, Duration::ZERO)).fold((0.0, 0.0), add);
         let pressed = || engines().filter(|(id, _)| seen[id].pressed == Some(true));
         // What stands at a jammed engine takes no more than its part, or one task, from the others.
         let one = self.traffic.iter().map(|t| t.threads).fold(1.0, f64::max).max(cores * share);
@@ -597,9 +604,9 @@
         let (grant, threads) = (self.grant(task, engine.kind), self.traffic[task.traffic].threads);
         let parts = |(own, own_threads)| ((own + grant) / memory_mb, (own_threads + threads) / cores);
         let others = (1.0 / share - 1.0) / kind.engines;
-        let own = || self.own(id, Duration::ZERO);
+        let own = || self.own(now, id, Duration::ZERO);
         let alone = || parts(add(own(), (kind.memory * others, kind.threads * others)));
-        let fresh = || parts(self.own(id, now.saturating_sub(self.beat())));
+        let fresh = || parts(self.own(now, id, now.saturating_sub(self.beat())));
         let (alone, fresh) = (alone(), fresh());
         let guess = |told: Option<f64>, fresh, alone| told.map_or(alone, |told| told + fresh);
         let guess = (guess(kind.told.0, fresh.0, alone.0), guess(kind.told.1, fresh.1, alone.1));
@@ -611,7 +618,7 @@
             let new = (new.0 + new.1) / if kind.counted { 1.0 } else { share };
             return (guess.0, kind.told.1.map_or(alike + new, |_| guess.0 + guess.1));
         };
-        let (unseen, unseen_busy) = parts(self.own(id, at.saturating_sub(self.beat())));
+        let (unseen, unseen_busy) = parts(self.own(now, id, at.saturating_sub(self.beat())));
         let age = seconds(now - *at) / seconds(self.beat() * 4);
         // Guards against engines that have gone quiet under a crowd: whatever was told, own hops are there.
         let there = parts(own());
@@ -756,11 +763,9 @@
     /// Guards against engines, and single answers, of which nothing comes: takes back what may be repeated.
     fn cancel_on_silent_engines(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let mut fired = false;
-        let from = self.fleet.note_every.map(|every| now.saturating_sub(every * 4));
         for (id, seen) in &sight.engines {
             let silent = seen.silence >= 1.5;
-            let heard = |o: &Out| self.tasks[&o.task].hops[o.hop].heard;
-            let lost = |o: &&Out| silent || from.is_some_and(|from| heard(o) < from);
+            let lost = |o: &&Out| silent || self.lost(now, o);
             let hops = self.engines[id].out.iter().filter(lost).map(|o| (o.task, o.hop));
             let hops = hops.filter(|(task, _)| self.may_move(&self.tasks[task], now));
             let hops = hops.take(self.hops_left(now) as usize).collect();
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -728,3 +728,16 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn a_hop_whose_notes_have_stopped_takes_no_room() {
+    let mut trace = Trace::new(1, |_, _, duties| duties.may_cancel = false);
+    trace.accept(1, 0, 7000.0).at(1900).accept(1, 0, 7000.0).wait(2500);
+    expect![[r#"
+        0     task 0 gets 8000 MB, priority 1
+        0     task 0 to engine 0 until 15980
+        2020  task 1 gets 8000 MB, priority 1
+        2020  task 1 to engine 0 until 17880
+    "#]]
+    .assert_eq(&trace.decided());
+}
