Without an estimate a grant is half over the learned mean, as an engine's own choice is

Line at fault: grant() added a quarter in both cases. Change: GRANT_UNTOLD = 1.5 without a told estimate. Where estimates are told, nothing changes. A trace of the billed run now names 150 for 125 MB; its point, that task 3 goes at once, stands. Could harm: more memory promised, so fewer tasks at once where memory is short.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,6 +24,8 @@
 const MEDIUM_THREADS: f64 = 1.0;
 /// Margin of a grant over the corrected estimate; the engine's own choice adds as much to the told one.
 const GRANT: f64 = 1.25;
+/// The same where no estimate is told: an engine adds half to what the type usually needs.
+const GRANT_UNTOLD: f64 = 1.5;
 /// Time-outs of held tasks, by tier, as parts of the way to the target time.
 const HOLD: [f64; 4] = [0.25, 0.25, 0.5, 0.75];
 /// Latency over the fleet's best from which an engine is under pressure.
@@ -367,7 +369,8 @@
 
     fn grant(&self, task: &Task, kind: usize) -> f64 {
         let most = self.fleet.largest_share * self.fleet.kinds[kind].memory_mb;
-        (task.memory.max(task.told_memory.unwrap_or(0.0)) * GRANT).min(most)
+        let margin = if task.told_memory.is_some() { GRANT } else { GRANT_UNTOLD };
+        (task.memory.max(task.told_memory.unwrap_or(0.0)) * margin).min(most)
     }
 
     /// This router's part of the fleet's traffic: its part of the memory that engines report granted, else an
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -719,11 +719,11 @@
     expect![[r#"
         0     task 0 gets 0 MB, priority 1
         0     task 0 to engine 0 until 7980
-        5000  task 1 gets 125 MB, priority 1
+        5000  task 1 gets 150 MB, priority 1
         5000  task 1 to engine 0 until 12980
-        7000  task 2 gets 125 MB, priority 1
+        7000  task 2 gets 150 MB, priority 1
         7000  task 2 to engine 0 until 14980
-        7000  task 3 gets 125 MB, priority 1
+        7000  task 3 gets 150 MB, priority 1
         7000  task 3 to engine 0 until 14980
     "#]]
     .assert_eq(&trace.decided());
@@ -741,3 +741,16 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn a_grant_without_an_estimate_is_no_less_than_an_engine_would_choose() {
+    let mut trace = Trace::new(1, |_, _, _| {});
+    trace.accept(0, 0, 0.0).at(50).billed(0, 0, 50, 100.0).accept(0, 0, 0.0);
+    expect![[r#"
+        0     task 0 gets 0 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        50    task 1 gets 150 MB, priority 1
+        50    task 1 to engine 0 until 8030
+    "#]]
+    .assert_eq(&trace.decided());
+}
