A held task probes two engines where load is told only to those who ask

Seen: without reports the fleet's load is this router's own hops times the other routers. Change: a rule after release: when a task is held that has its turn, two engines drawn by chance of which nothing is known for half a beat are asked, once in half a beat, where may_probe and probes_tell. A probed engine takes a task when the own guess allows it, or its memory is filled half as far (TARGET_PART). Where answers tell the load, nothing changes.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -92,6 +92,7 @@
     pub(crate) accepted: VecDeque<Duration>,
     pub(crate) further: VecDeque<Duration>,
     pub(crate) wake_due: Duration,
+    pub(crate) asked: Duration,
     pub(crate) closing: Duration,
     pub(crate) watched: bool,
     pub(crate) draws: u64,
@@ -133,6 +134,7 @@
             accepted: VecDeque::new(),
             further: VecDeque::new(),
             wake_due: Duration::ZERO,
+            asked: Duration::ZERO,
             closing: Duration::MAX,
             watched: false,
             draws: 0,
@@ -348,7 +350,8 @@
         let crowd = signals.in_flight.map(|tasks| tasks * threads / self.fleet.kinds[engine.kind].cores);
         signals.busy = signals.busy.or(crowd);
         engine.report = Some((now, signals));
-        if let Some(memory) = signals.memory.filter(|m| *m > 0.0) {
+        // Reports that are asked for when tasks are held would make the share look large.
+        if let Some(memory) = signals.memory.filter(|m| *m > 0.0 && !self.fleet.probes_tell) {
             let out = self.tasks.iter().filter(|(id, task)| **id != ended && task.out());
             let own: f64 = out.map(|(_, task)| task.hops[task.hops.len() - 1].grant).sum();
             let ready = self.engines.values().filter(|engine| engine.ready);
@@ -444,6 +447,8 @@
         let one = self.traffic.iter().map(|t| t.threads).fold(1.0, f64::max).max(cores * share);
         let held = |tier| pressed().map(|(_, engine)| self.threads_out(engine, tier).min(one)).sum();
         let reports = || engines().filter_map(|(_, engine)| engine.report.as_ref());
+        // The few that were asked tell nothing of the others.
+        let reports = || reports().filter(|_| !self.fleet.probes_tell);
         let told = |part: fn(&Signals) -> Option<f64>| mean(reports().filter_map(|(_, s)| part(s)));
         Gateway {
             // What is in flight comes and goes too fast for a mean of old reports.
@@ -630,7 +635,9 @@
             None => guess,
         };
         let memory = fade(signals.memory, unseen, guess.0, there.0);
-        (memory, memory + fade(signals.busy, unseen_busy, guess.1, there.1))
+        // An answer to a probe is late, and others ask too: half as far as the guess, it lets tasks go as well.
+        let in_use = if self.fleet.probes_tell { guess.0.min(memory / TARGET_PART) } else { memory };
+        (in_use, memory + fade(signals.busy, unseen_busy, guess.1, there.1))
     }
 
     /// Revenue for a second of the usual work.
@@ -717,13 +724,14 @@
     // ---- rules ----
 
     fn settle<O: Outlet>(&mut self, now: Duration, out: &mut O) {
-        let rules: [Rule<O>; 8] = [
+        let rules: [Rule<O>; 9] = [
             Self::forget_what_is_over,
             Self::answer_in_time,
             Self::cancel_on_silent_engines,
             Self::cancel_bad_plans,
             Self::drop_what_is_late,
             Self::release,
+            Self::ask_what_is_free,
             Self::refuse_what_waits_in_vain,
             Self::stay_awake,
         ];
@@ -843,7 +851,8 @@
             }
             let gateway = &gateways[engine.kind];
             let (memory_in_use, crowd) = self.load(to, task, now, sight.share, gateway);
-            let most = if engine.report.is_some() { 1.0 } else { gateway.untold };
+            let told = engine.report.is_some() && !self.fleet.probes_tell;
+            let most = if told { 1.0 } else { gateway.untold };
             // A shortage noted since the last report, as for most engines when routers are many.
             let told = engine.report.map_or(Duration::ZERO, |(at, _)| at).max(lately);
             let short = engine.refused.is_some_and(|at| at > told);
@@ -909,6 +918,23 @@
         fired
     }
 
+    /// Where load is told only to those who ask: when a task is held, two engines of which
+    /// nothing is known lately are asked, once in half a beat.
+    fn ask_what_is_free(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
+        let lately = now.saturating_sub(self.beat() / 2);
+        let held = self.tasks.iter().any(|(id, task)| task.held() && self.has_turn(*id, task, now));
+        if !held || !self.fleet.probes_tell || !self.duties.may_probe || self.asked > lately {
+            return false;
+        }
+        let known = |e: &Engine| e.report.as_ref().is_some_and(|(at, _)| *at >= lately);
+        let ready = self.engines.iter().filter(|(_, e)| e.ready && !known(e)).map(|(id, _)| *id);
+        let mut ready: Vec<EngineId> = ready.collect();
+        ready.sort_by_key(|id| self.chance(*id, now.as_micros() as u64));
+        ready.into_iter().take(2).for_each(|id| out.probe(id));
+        self.asked = now;
+        false
+    }
+
     /// Refuses when the time left cannot cover a run, or after a time-out that grows by tier.
     fn refuse_what_waits_in_vain(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let from = now.saturating_sub(self.beat() * 4);
--- a/src/print.rs
+++ b/src/print.rs
@@ -66,6 +66,8 @@
         since(now, self.wake_due.max(now)).hash(into);
         (self.closing != Duration::MAX).then(|| since(now, self.closing)).hash(into);
         self.watched.hash(into);
+        let asked = self.asked.max(now.saturating_sub(self.beat()));
+        self.fleet.probes_tell.then(|| since(now, asked)).hash(into);
         if self.duties.hop_budget.is_some() {
             self.accepted.iter().chain(&self.further).for_each(|at| since(now, *at).hash(into));
             self.further.len().hash(into);
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -282,6 +282,11 @@
         self
     }
 
+    pub fn probed(&mut self, engine: EngineId, signals: Option<Signals>) -> &mut Self {
+        self.router.probed(ms(self.lines.1), engine, signals, &mut self.lines);
+        self
+    }
+
     pub fn left(&mut self, task: TaskId) -> &mut Self {
         self.router.clients_left(ms(self.lines.1), &[task], &[], &mut self.lines);
         self
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -754,3 +754,22 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn a_held_task_asks_where_load_is_told_only_to_those_who_ask() {
+    let mut trace = Trace::new(4, |fleet, _, duties| {
+        (fleet.routers, fleet.probes_tell, duties.may_probe) = (40, true, true);
+    });
+    let told = |memory| Some(Signals { busy: Some(0.3), memory: Some(memory), ..Signals::default() });
+    trace.accept(1, 0, 2000.0).at(100).accept(1, 0, 2000.0).at(105).woken().at(110);
+    trace.probed(1, None).probed(3, told(0.1));
+    expect![[r#"
+        0     task 0 gets 2500 MB, priority 1
+        0     task 0 to engine 2 until 15980
+        100   probe engine 1
+        100   probe engine 3
+        110   task 1 gets 2500 MB, priority 1
+        110   task 1 to engine 3 until 16080
+    "#]]
+    .assert_eq(&trace.decided());
+}
