A task behind others of its key is not refused for want of room

Line at fault: refuse_what_waits_in_vain, whose time-out is meant for tasks that wait for room. Change: without the turn only the time counts: refused when a run no longer fits before the target, or before patience ends where late answers earn. Could harm: nothing on engines; a client hears later that it is refused.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -682,9 +682,9 @@
     }
 
     /// Answers the open tasks that `hopeless` names.
-    fn refuse(&mut self, hopeless: impl Fn(&Self, &Task) -> bool, out: &mut impl Outlet) -> bool {
+    fn refuse(&mut self, hopeless: impl Fn(&Self, TaskId, &Task) -> bool, out: &mut impl Outlet) -> bool {
         let come_back = self.duties.longest_come_back.map(|longest| self.beat().min(longest));
-        let open = self.tasks.iter().filter(|(_, task)| !task.over && hopeless(self, task));
+        let open = self.tasks.iter().filter(|(id, task)| !task.over && hopeless(self, **id, task));
         let open: Vec<TaskId> = open.map(|(id, _)| *id).collect();
         for id in &open {
             match self.may_bounce(&self.tasks[id]) {
@@ -762,7 +762,7 @@
     /// One final answer before patience ends, or the process, and at once where no further hop is allowed, or is
     /// for nobody any more.
     fn answer_in_time(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
-        let hopeless = |router: &Self, task: &Task| {
+        let hopeless = |router: &Self, _: TaskId, task: &Task| {
             let soon = now + router.margin() * 3;
             let again = || router.may_run_again(task, now) && !router.earns_little_late(task, now);
             let hopeless = || task.left || soon >= task.patience || !task.hops.is_empty() && !again();
@@ -943,11 +943,16 @@
             traffic.target + span(traffic.target_stretch * self.usual_cost(at) / traffic.threads.max(1.0))
         });
         let shortest = shortest.min().unwrap_or(Duration::MAX);
-        let in_vain = |router: &Self, task: &Task| {
+        let in_vain = |router: &Self, id: TaskId, task: &Task| {
             let (run, memory) = (task.ideal * sight.runs[task.traffic], task.tier_memory());
             // What is learned from those sent judges no type of which none came back lately.
             let back = || router.learned[task.traffic].stretches.since(from).next().is_some();
             let run = span(if task.told_cost.is_some() || back() { run } else { 0.0 });
+            // Behind others of its key it takes no room; late it may still earn.
+            if !router.has_turn(id, task, now) {
+                let late = router.traffic[task.traffic].late_share > 0.0;
+                return now + run > if late { task.patience } else { task.target };
+            }
             let tiers = sight.gateways.iter().map(|gateway| gateway.tier(memory));
             let hold = HOLD[tiers.min().unwrap_or(Tier::Largest) as usize];
             let alone = task.told_cost.is_some() || task.key.is_some();
@@ -955,7 +960,7 @@
             let time_out = task.arrived + if alone { way } else { way.min(shortest) }.mul_f64(hold);
             now + run > task.target || now > time_out
         };
-        self.refuse(|router, task| task.held() && in_vain(router, task), out)
+        self.refuse(|router, id, task| task.held() && in_vain(router, id, task), out)
     }
 
     fn stay_awake(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -773,3 +773,18 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn a_task_behind_others_of_its_key_waits_for_its_turn_past_the_time_out_of_its_tier() {
+    let mut trace =
+        Trace::new(1, |_, traffic, _| (traffic[2].keeps_order, traffic[2].late_share) = (true, 0.5));
+    trace.accept_keyed(2, 0, 0.0, Some(1)).accept_keyed(2, 0, 0.0, Some(1)).at(3500).woken();
+    trace.at(3600).billed(0, 0, 3600, 100.0);
+    expect![[r#"
+        0     task 0 gets 0 MB, priority 1
+        0     task 0 to engine 0 until 23980
+        3600  task 1 gets 0 MB, priority 1
+        3600  task 1 to engine 0 until 23980
+    "#]]
+    .assert_eq(&trace.decided());
+}
