Without an estimate a grant covers nine tenths of what its type was billed

Nothing changes where estimates are told, or nothing is billed. Could harm: memory that most tasks leave unused; engines that are short of it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,6 +26,8 @@
 const GRANT: f64 = 1.25;
 /// The same where no estimate is told: an engine adds half to what the type usually needs.
 const GRANT_UNTOLD: f64 = 1.5;
+/// Part of the billed needs of a type that such a grant covers.
+const GRANT_COVERS: f64 = 0.9;
 /// Time-outs of held tasks, by tier, as parts of the way to the target time.
 const HOLD: [f64; 4] = [0.25, 0.25, 0.5, 0.75];
 /// Latency over the fleet's best from which an engine is under pressure.
@@ -372,8 +374,9 @@
 
     fn grant(&self, task: &Task, kind: usize) -> f64 {
         let most = self.fleet.largest_share * self.fleet.kinds[kind].memory_mb;
-        let margin = if task.told_memory.is_some() { GRANT } else { GRANT_UNTOLD };
-        (task.memory.max(task.told_memory.unwrap_or(0.0)) * margin).min(most)
+        let billed = || quantile(self.learned[task.traffic].memories.values(), GRANT_COVERS).unwrap_or(0.0);
+        let untold = || billed().max(task.memory * GRANT_UNTOLD);
+        task.told_memory.map_or_else(untold, |told| task.memory.max(told) * GRANT).min(most)
     }
 
     /// This router's part of the fleet's traffic: its part of the memory that engines report granted, else an
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -783,8 +783,24 @@
     expect![[r#"
         0     task 0 gets 0 MB, priority 1
         0     task 0 to engine 0 until 23980
-        3600  task 1 gets 0 MB, priority 1
+        3600  task 1 gets 100 MB, priority 1
         3600  task 1 to engine 0 until 23980
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn a_grant_without_an_estimate_covers_what_its_type_was_mostly_billed() {
+    let mut trace = Trace::new(1, |_, _, _| {});
+    trace.accept(0, 0, 0.0).at(50).billed(0, 0, 50, 100.0).accept(0, 0, 0.0);
+    trace.at(100).billed(1, 0, 50, 400.0).accept(0, 0, 0.0);
+    expect![[r#"
+        0     task 0 gets 0 MB, priority 1
+        0     task 0 to engine 0 until 7980
+        50    task 1 gets 150 MB, priority 1
+        50    task 1 to engine 0 until 8030
+        100   task 2 gets 400 MB, priority 1
+        100   task 2 to engine 0 until 8080
+    "#]]
+    .assert_eq(&trace.decided());
+}
