--- a/src/logic.rs
+++ b/src/logic.rs
@@ -708,22 +708,12 @@
         !hops.is_empty()
     }
 
-    fn send(&mut self, now: Duration, id: TaskId, to: (EngineId, Tier, f64), out: &mut impl Outlet) {
+    fn send(&mut self, now: Duration, id: TaskId, to: EngineId, tier: Tier, out: &mut impl Outlet) {
         let task = &self.tasks[&id];
-        let (to, tier, run) = to;
         let grant = self.grant(task, self.engines[&to].kind);
         let usual = self.usual_cost(task.traffic);
         out.terms(id, grant.round(), self.priority(task.traffic));
-        let end = task.patience.saturating_sub(self.margin());
-        // No cancel takes a hop back whose answer is lost: its own time ends while another can be in time.
-        let repeats = matches!(self.traffic[task.traffic].effect, Effect::Replayable);
-        let run = span(task.ideal * run);
-        let early = task.target.saturating_sub(run);
-        let again = repeats
-            && early >= now + run.mul_f64(BAD_PLAN_UNSEEN)
-            && !self.duties.may_cancel
-            && task.hops.len() + 1 < self.duties.most_hops;
-        out.send(id, to, if again { early.min(end) } else { end });
+        out.send(id, to, task.patience.saturating_sub(self.margin()));
         self.further.extend((!task.hops.is_empty()).then_some(now));
         let (group, threads) = (task.group, self.traffic[task.traffic].threads);
         let hops = &mut self.tasks.get_mut(&id).expect("a held task").hops;
@@ -922,8 +912,7 @@
             let (gateway, grant) = (&mut sight.gateways[kind], self.grant(task, kind));
             (gateway.memory, gateway.threads) = (gateway.memory + grant, gateway.threads + threads);
             gateway.held[tier as usize] += threads * f64::from(sight.engines[&to].pressed == Some(true));
-            let run = sight.runs[self.tasks[&id].traffic];
-            self.send(now, id, (to, tier, run), out);
+            self.send(now, id, to, tier, out);
             self.draws += 1;
             gateway.small += f64::from(tier == Tier::Small);
             gateway.medium += f64::from(tier == Tier::Medium);
