--- a/src/logic.rs
+++ b/src/logic.rs
@@ -640,8 +640,7 @@
         let memory = fade(signals.memory, unseen, guess.0, there.0);
         // An answer to a probe is late, and others ask too: half as far as the guess, it lets tasks go as well.
         let in_use = if self.fleet.probes_tell { guess.0.min(memory / TARGET_PART) } else { memory };
-        let busy = signals.busy.map(|busy| busy.max(signals.disks.unwrap_or(0.0)));
-        (in_use, memory + fade(busy, unseen_busy, guess.1, there.1))
+        (in_use, memory + fade(signals.busy, unseen_busy, guess.1, there.1))
     }
 
     /// Revenue for a second of the usual work.
