--- a/src/logic.rs
+++ b/src/logic.rs
@@ -638,7 +638,7 @@
             None => guess,
         };
         let memory = fade(signals.memory, unseen, guess.0, there.0);
-        // An answer to a probe is late, and others ask too: half as far as the guess, it lets tasks go as well.
+        // A probe tells late, and others ask too: half as far as the guess, it lets tasks go as well.
         let in_use = if self.fleet.probes_tell { guess.0.min(memory / TARGET_PART) } else { memory };
         (in_use, memory + fade(signals.busy, unseen_busy, guess.1, there.1))
     }
