Explorer: a key whose tasks run once, without cancel, and rests one after another

Three worlds round key order: two single-use tasks of one key without cancel, a replayable one before a single-use one, and three of one key where a rest follows a rest. Truth kept only a key's last rest, as the module does; it now keeps all that are owed, so that a shorter or another's rest could not hide one.

Ruled out by this: a later task sent in an earlier one's rest, a client that leaves while its hop is out, a further hop of a replayable task in its own rest taking another's rest away. The first two worlds are in the plain test.

--- a/crates/explorer/src/life.rs
+++ b/crates/explorer/src/life.rs
@@ -476,7 +476,8 @@
         if let (Some(key), Some(rest), HopEnd::TimedOut | HopEnd::Broken | HopEnd::Withdrawn) =
             (world.tasks[task].key, world.duties.key_rest, end)
         {
-            self.rests.retain(|(other, ..)| *other != key);
+            // All that are still owed: one after another's hop does not end that of an earlier.
+            self.rests.retain(|(.., until)| *until > now);
             self.rests.push((key, number, now + rest));
         }
         let ended = Ended { task: number, hop, engine, end, took, bill: None, signals: world.signals, over };
--- a/crates/explorer/src/places.rs
+++ b/crates/explorer/src/places.rs
@@ -12,6 +12,9 @@
 const ALL: &[Listed] = &[Listed::Drains, Listed::Gone, Listed::Back, Listed::Anew];
 /// Ends that differ in what they prove: done, failed, never ran, lost.
 const FEW: &[HopEnd] = &[HopEnd::Succeeded, HopEnd::Failed, HopEnd::Overloaded, HopEnd::Broken];
+/// Ends after which it may still run, and such as prove that it does not.
+const MAY_RUN: &[HopEnd] =
+    &[HopEnd::Succeeded, HopEnd::Failed, HopEnd::Overloaded, HopEnd::TimedOut, HopEnd::Broken];
 const NOTES: &[Notice] =
     &[Notice::Runs, Notice::Done(0.1), Notice::Spills(200.0), Notice::WaitsForMemory, Notice::WaitsForLoad];
 const THREE: &[(usize, u64)] = &[(0, 0), (0, 0), (0, 0)];
@@ -198,6 +201,50 @@
         leaves: 1,
         ..Place::PLAIN
     },
+    Place {
+        name: "one key, single-use",
+        says: "two single-use tasks of one key that rests, no cancel, a client that leaves its hop out",
+        setup: setup!(|fleet, traffic, duties| {
+            traffic[4].keeps_order = true;
+            duties.key_rest = Some(std::time::Duration::from_millis(60));
+            duties.may_cancel = false;
+        }),
+        engines: &[(0, 0)],
+        tasks: &[keyed(4, 1), keyed(4, 1)],
+        ends: MAY_RUN,
+        leaves: 1,
+        ..Place::PLAIN
+    },
+    Place {
+        name: "one key, two effects",
+        says: "a replayable task, whose further hops need no rest, and a single-use one of its key that does",
+        setup: setup!(|fleet, traffic, duties| {
+            traffic[0].keeps_order = true;
+            traffic[4].keeps_order = true;
+            duties.key_rest = Some(std::time::Duration::from_millis(60));
+            duties.may_cancel = false;
+        }),
+        engines: &[(0, 0)],
+        tasks: &[keyed(0, 1), keyed(4, 1)],
+        ends: MAY_RUN,
+        leaves: 1,
+        ..Place::PLAIN
+    },
+    Place {
+        name: "three of one key",
+        says: "a single-use task between two replayable ones of its key: one rest after another",
+        setup: setup!(|fleet, traffic, duties| {
+            traffic[0].keeps_order = true;
+            traffic[4].keeps_order = true;
+            duties.key_rest = Some(std::time::Duration::from_millis(60));
+            duties.may_cancel = false;
+        }),
+        engines: &[(0, 0)],
+        tasks: &[keyed(0, 1), keyed(4, 1), keyed(0, 1)],
+        ends: &[HopEnd::Succeeded, HopEnd::Broken],
+        short: false,
+        ..Place::PLAIN
+    },
     Place {
         name: "hop budget",
         says: "two replayable tasks, one engine, a hop budget with room for one of them",
--- a/crates/explorer/tests/walk.rs
+++ b/crates/explorer/tests/walk.rs
@@ -74,6 +74,12 @@
     holds("two on a narrow connection");
 }
 
+#[test]
+fn a_key_whose_tasks_run_once_or_again_in_turn_with_a_rest_and_no_cancel() {
+    holds("one key, single-use");
+    holds("one key, two effects");
+}
+
 #[test]
 fn a_client_that_withdraws_or_leaves_in_the_instant_of_the_answer() {
     holds("one client");
