Reports that tell no memory do not order the engines

Lines at fault: load(), which takes any report for one of room. It now takes only one that tells memory; else own hops over the share decide, as where nothing is reported. Busy cores still count as pressure. Could do harm where memory never binds and cores alone do.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -231,7 +231,7 @@
             let alone = seconds(took) * threads / crowd.unwrap_or(1.0).max(1.0);
             let cost = bill.map_or(alone, |bill| seconds(bill.cost));
             learned.costs.push(now, cost);
-            // What it came to, not what such tasks come to: the first know nothing, and one is not like another.
+            // What it came to, not what such tasks come to: the first know nothing, and none is like another.
             ideal = cost / threads.max(1.0);
         }
         let engine = self.engines.get_mut(&engine).expect("an engine that a hop went to");
@@ -621,13 +621,15 @@
         let (alone, fresh) = (alone(), fresh());
         let guess = |told: Option<f64>, fresh, alone| told.map_or(alone, |told| told + fresh);
         let guess = (guess(kind.told.0, fresh.0, alone.0), guess(kind.told.1, fresh.1, alone.1));
-        let Some((at, signals)) = &engine.report else {
-            // Nothing tells them apart but this router's own hops: others like what it likes. Where others tell,
-            // it is the mean of those, or what is in flight of what they like and this task.
+        let tells = |s: &Signals| s.memory.is_some() || kind.counted;
+        let Some((at, signals)) = engine.report.as_ref().filter(|(_, s)| tells(s)) else {
+            // Nothing tells them apart but own hops: others like what this router likes. Where others tell, it
+            // is the mean of those, or what is in flight of what they like and this task. That cores are free
+            // tells little of an engine whose memory may be full, and draws all routers there at once.
             let (own, new) = (own(), parts((0.0, 0.0)));
             let alike = (own.0 / memory_mb + own.1 / cores) / share;
             let new = (new.0 + new.1) / if kind.counted { 1.0 } else { share };
-            return (guess.0, kind.told.1.map_or(alike + new, |_| guess.0 + guess.1));
+            return (guess.0, kind.told.0.map_or(alike + new, |_| guess.0 + guess.1));
         };
         let (unseen, unseen_busy) = parts(self.own(now, id, at.saturating_sub(self.beat())));
         let age = seconds(now - *at) / seconds(self.beat() * 4);
@@ -941,7 +943,7 @@
     /// Refuses when the time left cannot cover a run, or after a time-out that grows by tier.
     fn refuse_what_waits_in_vain(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let from = now.saturating_sub(self.beat() * 4);
-        // Those of untold cost stand in one line, whose time-out is one: else the patient ones keep the others out.
+        // Those of untold cost stand in one line, which has one time-out: else patient ones keep others out.
         let shortest = self.traffic.iter().enumerate().map(|(at, traffic)| {
             traffic.target + span(traffic.target_stretch * self.usual_cost(at) / traffic.threads.max(1.0))
         });
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -804,3 +804,20 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn free_cores_draw_nobody_where_no_report_tells_memory() {
+    let mut trace = Trace::new(2, |fleet, _, _| fleet.routers = 4);
+    let told = |busy| Some(Signals { busy: Some(busy), ..Signals::default() });
+    trace.accept(0, 100, 300.0).accept(0, 100, 300.0);
+    trace.at(100).reported(0, 0, 0, HopEnd::Succeeded, told(0.9));
+    trace.reported(1, 0, 1, HopEnd::Succeeded, told(0.1)).decided();
+    trace.accept(0, 100, 300.0).accept(0, 100, 300.0);
+    expect![[r#"
+        100   task 2 gets 375 MB, priority 1
+        100   task 2 to engine 0 until 8080
+        100   task 3 gets 375 MB, priority 1
+        100   task 3 to engine 1 until 8080
+    "#]]
+    .assert_eq(&trace.decided());
+}
