Rename: a refusal's come_back is retry_after, the field's word

Need: where a word of ours hides a standard concept it is renamed as the code is touched. Nothing else changes; what the wire names (holdoff, retryAfterMs) stays as it is at the boundary.

--- a/crates/router/src/floor.rs
+++ b/crates/router/src/floor.rs
@@ -134,8 +134,8 @@
             self.engines.take_back(hop, &mut self.works);
         }
     }
-    fn bounce(&mut self, task: TaskId, come_back: Option<Duration>) {
-        let holdoff = come_back.map(whole_ms).filter(|ms| *ms > 0);
+    fn bounce(&mut self, task: TaskId, retry_after: Option<Duration>) {
+        let holdoff = retry_after.map(whole_ms).filter(|ms| *ms > 0);
         let line = |id| jsonrpc::error(Some(id), jsonrpc::BOUNCED, "bounced: a retry is harmless", holdoff);
         let answered = self.answer(task, "tasks_bounced", line);
         self.works.counters.must(answered, "a_second_answer");
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -56,7 +56,7 @@
     door_due: Option<Duration>,
     /// By traffic type, the target and whether tasks of one key keep their order.
     habits: Vec<(Duration, bool)>,
-    longest_come_back: Option<Duration>,
+    longest_retry_after: Option<Duration>,
 }
 
 impl Front {
@@ -64,7 +64,7 @@
     pub fn new(briefing: Briefing, works: Works) -> Self {
         let Briefing { premises, fleet, traffic, duties, last, events, orders, unread: _ } = briefing;
         let (habits, now) = (traffic.iter().map(|t| (t.target, t.keeps_order)).collect(), works.now());
-        let longest_come_back = duties.longest_come_back;
+        let longest_retry_after = duties.longest_retry_after;
         let longest = traffic.iter().map(|traffic| traffic.patience).max().unwrap_or_default();
         let mut front = Self {
             router: Router::new(fleet, traffic, duties),
@@ -77,7 +77,7 @@
             door: None,
             door_due: None,
             habits,
-            longest_come_back,
+            longest_retry_after,
             floor: Floor::within(premises, works),
         };
         if let Some(roll) = orders.teams {
@@ -433,9 +433,9 @@
             return;
         };
         self.floor.works.counters.count("tasks_refused_at_the_door");
-        log::debug!("task {task}: {:?}, back in {:?}", refusal.reason, refusal.come_back);
-        let come_back = self.longest_come_back.map(|longest| refusal.come_back.min(longest));
-        self.floor.bounce(task, come_back);
+        log::debug!("task {task}: {:?}, back in {:?}", refusal.reason, refusal.retry_after);
+        let retry_after = self.longest_retry_after.map(|longest| refusal.retry_after.min(longest));
+        self.floor.bounce(task, retry_after);
     }
 
     /// Settles what was closed, hands on the next task that has room, and tells clients of their waits; tells
--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -180,6 +180,6 @@
         fall: rules.positive_time("fallMs")?,
         key_rest: rules.optional("keyQuietMs", Fields::time)?,
         hop_budget: over.map(|over| HopBudget { spare, per_task, over }),
-        longest_come_back: caps.flag("retryAfter")?.then_some(longest).flatten(),
+        longest_retry_after: caps.flag("retryAfter")?.then_some(longest).flatten(),
     })
 }
--- a/crates/teams/src/queues.rs
+++ b/crates/teams/src/queues.rs
@@ -53,11 +53,11 @@
     Hopeless,
 }
 
-/// Turned away; such a task would be taken in `come_back`.
+/// Turned away; such a task would be taken in `retry_after`.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Refusal {
     pub reason: Reason,
-    pub come_back: Duration,
+    pub retry_after: Duration,
 }
 
 /// What came of a task that was let go.
@@ -198,11 +198,11 @@
         let wait = reckoned.map(|seconds| self.pace.told(seconds, 0).likely);
         let wait_or_none = wait.unwrap_or_default();
         if self.lines[asking.team].count >= self.charter.teams[asking.team].most_waiting {
-            return Err(Refusal { reason: Reason::Full, come_back: wait_or_none });
+            return Err(Refusal { reason: Reason::Full, retry_after: wait_or_none });
         }
         if wait_or_none + asking.work > asking.patience && !wait_or_none.is_zero() {
-            let come_back = (wait_or_none + asking.work).saturating_sub(asking.patience);
-            return Err(Refusal { reason: Reason::Hopeless, come_back });
+            let retry_after = (wait_or_none + asking.work).saturating_sub(asking.patience);
+            return Err(Refusal { reason: Reason::Hopeless, retry_after });
         }
         let Asking { task, team, urgency, traffic, work, target, identity, key, .. } = asking;
         let turn = (now, self.turns);
--- a/crates/teams/tests/turns.rs
+++ b/crates/teams/tests/turns.rs
@@ -55,13 +55,13 @@
             Asking { task, team, urgency, traffic: 0, work, target, patience, identity: None, key: None };
         change(&mut asking);
         self.next += 1;
-        if let Err(Refusal { reason, come_back }) = self.queues.arrive(ms(self.now), asking) {
+        if let Err(Refusal { reason, retry_after }) = self.queues.arrive(ms(self.now), asking) {
             let _ = writeln!(
                 self.seen,
                 "{:<6}task {task} of team {} is turned away, {reason:?}, for {} ms",
                 self.now,
                 asking.team,
-                come_back.as_millis()
+                retry_after.as_millis()
             );
         }
         self
@@ -313,7 +313,7 @@
 }
 
 #[test]
-fn a_full_queue_and_a_hopeless_task_are_told_when_to_come_back() {
+fn a_full_queue_and_a_hopeless_task_are_told_when_to_retry_after() {
     let mut door = Door::of(firm(&[(1.0, None)]));
     paced(&mut door, 20);
     for _ in 0..6 {
--- a/crates/wirehost/src/instance.rs
+++ b/crates/wirehost/src/instance.rs
@@ -73,8 +73,8 @@
     fn cancel(&mut self, task: TaskId, hop: usize) {
         self.write(json!({"op": "ABORT_ATTEMPT", "ref": self.task(task), "hop": hop}));
     }
-    fn bounce(&mut self, task: TaskId, come_back: Option<Duration>) {
-        let after = come_back.map_or(0.0, to_ms);
+    fn bounce(&mut self, task: TaskId, retry_after: Option<Duration>) {
+        let after = retry_after.map_or(0.0, to_ms);
         self.write(json!({"op": "TURN_AWAY", "ref": self.task(task), "retryAfterMs": after}));
     }
     fn give_up(&mut self, task: TaskId) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,7 +29,7 @@
     /// Stops waiting for one hop.
     fn cancel(&mut self, task: TaskId, hop: usize);
     /// Final answer: not done, a retry is harmless.
-    fn bounce(&mut self, task: TaskId, come_back: Option<Duration>);
+    fn bounce(&mut self, task: TaskId, retry_after: Option<Duration>);
     /// Final answer: not done, nothing promised.
     fn give_up(&mut self, task: TaskId);
     /// Asks an engine for its load, where that is allowed.
@@ -104,7 +104,7 @@
     pub fall: Duration,
     pub key_rest: Option<Duration>,
     pub hop_budget: Option<HopBudget>,
-    pub longest_come_back: Option<Duration>,
+    pub longest_retry_after: Option<Duration>,
 }
 
 pub struct HopBudget {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -688,12 +688,12 @@
 
     /// Answers the open tasks that `hopeless` names.
     fn refuse(&mut self, hopeless: impl Fn(&Self, TaskId, &Task) -> bool, out: &mut impl Outlet) -> bool {
-        let come_back = self.duties.longest_come_back.map(|longest| self.beat().min(longest));
+        let retry_after = self.duties.longest_retry_after.map(|longest| self.beat().min(longest));
         let open = self.tasks.iter().filter(|(id, task)| !task.over && hopeless(self, **id, task));
         let open: Vec<TaskId> = open.map(|(id, _)| *id).collect();
         for id in &open {
             match self.may_bounce(&self.tasks[id]) {
-                true => out.bounce(*id, come_back),
+                true => out.bounce(*id, retry_after),
                 false => out.give_up(*id),
             }
             self.tasks.entry(*id).and_modify(|task| task.over = true);
--- a/tests/trace/mod.rs
+++ b/tests/trace/mod.rs
@@ -27,8 +27,8 @@
     fn cancel(&mut self, task: TaskId, hop: usize) {
         self.add(format_args!("cancel task {task} hop {hop}"));
     }
-    fn bounce(&mut self, task: TaskId, come_back: Option<Duration>) {
-        let after = come_back.map_or(0, |after| after.as_millis());
+    fn bounce(&mut self, task: TaskId, retry_after: Option<Duration>) {
+        let after = retry_after.map_or(0, |after| after.as_millis());
         self.add(format_args!("bounce task {task}, back after {after}"));
     }
     fn give_up(&mut self, task: TaskId) {
@@ -94,7 +94,7 @@
         fall: ms(1000),
         key_rest: None,
         hop_budget: None,
-        longest_come_back: Some(ms(400)),
+        longest_retry_after: Some(ms(400)),
     };
     (fleet, traffic(), duties)
 }
