--- a/src/logic.rs
+++ b/src/logic.rs
@@ -295,8 +295,8 @@
         self.settle(now, out);
     }
 
-    /// Clients have stopped waiting for some tasks, which are over. Those of others have ended their side and may
-    /// be gone as well: what they asked for is not sent on any more, and what is out has its end waited for.
+    /// Clients have stopped waiting for some tasks, which are over. Those of others have ended their side and
+    /// may be gone: what they asked for is not sent on any more, and what is out has its end waited for.
     pub fn clients_left(&mut self, now: Duration, over: &[TaskId], ended: &[TaskId], out: &mut impl Outlet) {
         for (ids, over) in [(over, true), (ended, false)] {
             for id in ids {
@@ -623,9 +623,9 @@
         let guess = (guess(kind.told.0, fresh.0, alone.0), guess(kind.told.1, fresh.1, alone.1));
         let tells = |s: &Signals| s.memory.is_some() || kind.counted;
         let Some((at, signals)) = engine.report.as_ref().filter(|(_, s)| tells(s)) else {
-            // Nothing tells them apart but own hops: others like what this router likes. Where others tell, it
-            // is the mean of those, or what is in flight of what they like and this task. That cores are free
-            // tells little of an engine whose memory may be full, and draws all routers there at once.
+            // Nothing tells them apart but own hops: others like what this router likes. Where others tell,
+            // it is the mean of those, or what is in flight of what they like and this task. That cores are
+            // free tells little of an engine whose memory may be full, and draws all routers there at once.
             let (own, new) = (own(), parts((0.0, 0.0)));
             let alike = (own.0 / memory_mb + own.1 / cores) / share;
             let new = (new.0 + new.1) / if kind.counted { 1.0 } else { share };
@@ -764,8 +764,8 @@
         left.and_then(|id| self.engines.remove(&id)).is_some() || !gone.is_empty()
     }
 
-    /// One final answer before patience ends, or the process, and at once where no further hop is allowed, or is
-    /// for nobody any more.
+    /// One final answer before patience ends, or the process, and at once where no further hop is allowed, or
+    /// is for nobody any more.
     fn answer_in_time(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
         let hopeless = |router: &Self, _: TaskId, task: &Task| {
             let soon = now + router.margin() * 3;
@@ -923,8 +923,8 @@
         fired
     }
 
-    /// Where load is told only to those who ask: when a task is held, two engines of which
-    /// nothing is known lately are asked, once in half a beat.
+    /// Where load is told only to those who ask: when a task is held, two engines of which nothing is known
+    /// lately are asked, once in half a beat.
     fn ask_what_is_free(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
         let lately = now.saturating_sub(self.beat() / 2);
         let held = self.tasks.iter().any(|(id, task)| task.held() && self.has_turn(*id, task, now));
