A crowd that no fleet could serve is refused at once, not gone through by each input

One router, three engines, three bursts of a customer and one of all: 33 to 11,347 arrivals a second. Held tasks rose from 189 to 7,595; every input goes through all of them in release (46 %) and refuse (39 %). Ruled out: an endless loop (each batch was answered), engines (never more than 26 hops out). Lines at fault: release and refuse_what_waits_in_vain, which let any number wait. Change: what stands behind more held work than four times what this router's part of all cores does until its target is refused at once, from the 33rd on. It can't come back, as what each input goes through is bounded by that work. Guards also against any flood of tasks. Harms: where work was learned far too high, some are refused early.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -223,15 +223,15 @@
         {
             learned.memory_ratios.push(now, if missing > 0.0 { (grant + missing) / told } else { 1.0 });
         }
+        // Of untold cost, a task is what it came to, not what such tasks come to.
         let mut ideal = task.ideal;
         if told_cost.is_none() && end == HopEnd::Succeeded {
-            let threads = self.traffic[traffic].threads;
             // Unbilled, its share of the cores is what it ran on: else a crowd would look like its own work.
+            let threads = self.traffic[traffic].threads;
             let crowd = signals.and_then(|_| self.engines[&engine].report).and_then(|(_, told)| told.busy);
             let alone = seconds(took) * threads / crowd.unwrap_or(1.0).max(1.0);
             let cost = bill.map_or(alone, |bill| seconds(bill.cost));
             learned.costs.push(now, cost);
-            // What it came to, not what such tasks come to: the first know nothing, and none is like another.
             ideal = cost / threads.max(1.0);
         }
         let engine = self.engines.get_mut(&engine).expect("an engine that a hop went to");
@@ -287,9 +287,8 @@
                 _ => {}
             }
             // A spill tells of a cut grant only where the grant was named after what the task told.
-            let told = self.fleet.cuts_grants && task.told_memory.is_some();
-            let spills = told && matches!(notice, Notice::Spills(_));
-            let short = spills || notice == Notice::WaitsForMemory;
+            let cut = self.fleet.cuts_grants && task.told_memory.is_some();
+            let short = cut && matches!(notice, Notice::Spills(_)) || notice == Notice::WaitsForMemory;
             engine.refused = short.then_some(now).or(engine.refused);
         }
         self.settle(now, out);
@@ -443,22 +442,20 @@
         };
         let swing = 1.0 + mean(engines().map(|(id, _)| mood(id))).unwrap_or(0.0) / 2.0;
         let count = |tier| engines().flat_map(|(_, e)| &e.out).filter(|out| out.tier == tier).count() as f64;
-        let (memory, threads) =
-            engines().map(|(id, _)| self.own(now, *id, Duration::ZERO)).fold((0.0, 0.0), add);
+        let own = engines().map(|(id, _)| self.own(now, *id, Duration::ZERO)).fold((0.0, 0.0), add);
         let pressed = || engines().filter(|(id, _)| seen[id].pressed == Some(true));
         // What stands at a jammed engine takes no more than its part, or one task, from the others.
         let one = self.traffic.iter().map(|t| t.threads).fold(1.0, f64::max).max(cores * share);
         let held = |tier| pressed().map(|(_, engine)| self.threads_out(engine, tier).min(one)).sum();
-        let reports = || engines().filter_map(|(_, engine)| engine.report.as_ref());
         // The few that were asked tell nothing of the others.
-        let reports = || reports().filter(|_| !self.fleet.probes_tell);
+        let reports = || engines().filter(|_| !self.fleet.probes_tell).filter_map(|(_, e)| e.report.as_ref());
         let told = |part: fn(&Signals) -> Option<f64>| mean(reports().filter_map(|(_, s)| part(s)));
         Gateway {
             // What is in flight comes and goes too fast for a mean of old reports.
             told: (told(|s| s.memory), told(|s| s.busy.filter(|_| s.in_flight.is_none()))),
             counted: reports().any(|(_, s)| s.in_flight.is_some()),
-            memory,
-            threads,
+            memory: own.0,
+            threads: own.1,
             pool: pressed().map(|(id, _)| seen[id].ease * cores).sum(),
             held: [Tier::Unblocked, Tier::Small, Tier::Medium, Tier::Largest].map(held),
             unblocked: memory_mb / cores * UNBLOCKED_PART,
@@ -588,9 +585,8 @@
     }
 
     /// Whether the tier has a slot open at an engine: largest one at a time, the others bound under pressure.
-    /// Guards against surges and slow fleets: limits shrink as latency rises. Harms engines slow for their
-    /// own reasons. Guards against many routers, whose one query at each engine adds up: parts under one
-    /// query are pooled over the engines under pressure. Harms by sparing one of these that could bear more.
+    /// Guards against surges and slow fleets: limits shrink as latency rises. Guards against many routers,
+    /// whose one query at each engine adds up: parts under one are pooled over the engines under pressure.
     fn slot_open(&self, engine: &Engine, tier: Tier, threads: f64, sight: (&Seen, &Gateway, f64)) -> bool {
         let (seen, gateway, share) = sight;
         let part = if tier == Tier::Small { SMALL_THREADS } else { MEDIUM_THREADS };
@@ -616,16 +612,14 @@
         let parts = |(own, own_threads)| ((own + grant) / memory_mb, (own_threads + threads) / cores);
         let others = (1.0 / share - 1.0) / kind.engines;
         let own = || self.own(now, id, Duration::ZERO);
-        let alone = || parts(add(own(), (kind.memory * others, kind.threads * others)));
-        let fresh = || parts(self.own(now, id, now.saturating_sub(self.beat())));
-        let (alone, fresh) = (alone(), fresh());
+        let alone = parts(add(own(), (kind.memory * others, kind.threads * others)));
+        let fresh = parts(self.own(now, id, now.saturating_sub(self.beat())));
         let guess = |told: Option<f64>, fresh, alone| told.map_or(alone, |told| told + fresh);
         let guess = (guess(kind.told.0, fresh.0, alone.0), guess(kind.told.1, fresh.1, alone.1));
         let tells = |s: &Signals| s.memory.is_some() || kind.counted;
         let Some((at, signals)) = engine.report.as_ref().filter(|(_, s)| tells(s)) else {
-            // Nothing tells them apart but own hops: others like what this router likes. Where others tell,
-            // it is the mean of those, or what is in flight of what they like and this task. That cores are
-            // free tells little of an engine whose memory may be full, and draws all routers there at once.
+            // Nothing tells them apart but own hops: others like what this router likes, or the mean of those
+            // that tell. Free cores tell little of an engine's memory, and draw all routers there at once.
             let (own, new) = (own(), parts((0.0, 0.0)));
             let alike = (own.0 / memory_mb + own.1 / cores) / share;
             let new = (new.0 + new.1) / if kind.counted { 1.0 } else { share };
@@ -820,9 +814,8 @@
         self.take_back(hops.map(|(id, task)| (*id, task.hops.len() - 1)).collect(), out)
     }
 
-    /// The ordinary path: held tasks leave earliest first per tier, to the engine with most free room.
-    /// The engine that a task is to go to now, if any has room, and its tier there; later ones of a tier
-    /// stand behind the first that has none.
+    /// The engine with most free room, if any has some, for a task that is to go now, and its tier there;
+    /// later ones of a tier stand behind the first that has none.
     fn choose(
         &self,
         now: Duration,
@@ -856,15 +849,14 @@
             }
             let gateway = &gateways[engine.kind];
             let (memory_in_use, crowd) = self.load(to, task, now, sight.share, gateway);
-            let told = engine.report.is_some() && !self.fleet.probes_tell;
-            let most = if told { 1.0 } else { gateway.untold };
+            let most = if engine.report.is_none() || self.fleet.probes_tell { gateway.untold } else { 1.0 };
             // A shortage noted since the last report, as for most engines when routers are many.
             let told = engine.report.map_or(Duration::ZERO, |(at, _)| at).max(lately);
             let short = engine.refused.is_some_and(|at| at > told);
             // Tasks in flight tell of more than all cores; where cores are told themselves, pressure does.
             let crowded = gateway.counted && crowd - memory_in_use > PRESSED * FULL;
-            let room = memory_in_use <= most && !short && !crowded;
-            let fits = tier <= Tier::Small || gateway.threads == 0.0 || room;
+            let fits =
+                memory_in_use <= most && !short && !crowded || gateway.threads == 0.0 || tier <= Tier::Small;
             if fits && self.slot_open(engine, tier, threads, (seen, gateway, sight.share)) {
                 free.push((1.0 - crowd / 2.0 * seen.slow, to, tier));
             } else {
@@ -899,6 +891,7 @@
         liked.map(|(_, to, tier)| (*to, *tier))
     }
 
+    /// The ordinary path: held tasks leave earliest first per tier.
     fn release(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let held = self.tasks.iter().filter(|(_, task)| task.held()).map(|(id, _)| *id).collect::<Vec<_>>();
         let mut blocked: BTreeSet<(usize, Tier)> = BTreeSet::new();
@@ -923,19 +916,18 @@
         fired
     }
 
-    /// Where load is told only to those who ask: when a task is held, two engines of which nothing is known
-    /// lately are asked, once in half a beat.
+    /// Where only probes tell: two engines of which nothing is known are asked, once in half a beat.
     fn ask_what_is_free(&mut self, now: Duration, _: &mut Sight, out: &mut impl Outlet) -> bool {
         let lately = now.saturating_sub(self.beat() / 2);
         let held = self.tasks.iter().any(|(id, task)| task.held() && self.has_turn(*id, task, now));
         if !held || !self.fleet.probes_tell || !self.duties.may_probe || self.asked > lately {
             return false;
         }
-        let known = |e: &Engine| e.report.as_ref().is_some_and(|(at, _)| *at >= lately);
-        let ready = self.engines.iter().filter(|(_, e)| e.ready && !known(e)).map(|(id, _)| *id);
-        let mut ready: Vec<EngineId> = ready.collect();
-        ready.sort_by_key(|id| self.chance(*id, now.as_micros() as u64));
-        ready.into_iter().take(2).for_each(|id| out.probe(id));
+        let mut asked: Vec<EngineId> = self.engines.keys().copied().collect();
+        let unknown = |e: &Engine| e.ready && e.report.is_none_or(|(at, _)| at < lately);
+        asked.retain(|id| unknown(&self.engines[id]));
+        asked.sort_by_key(|id| self.chance(*id, now.as_micros() as u64));
+        asked.into_iter().take(2).for_each(|id| out.probe(id));
         self.asked = now;
         false
     }
@@ -944,10 +936,22 @@
     fn refuse_what_waits_in_vain(&mut self, now: Duration, sight: &mut Sight, out: &mut impl Outlet) -> bool {
         let from = now.saturating_sub(self.beat() * 4);
         // Those of untold cost stand in one line, which has one time-out: else patient ones keep others out.
-        let shortest = self.traffic.iter().enumerate().map(|(at, traffic)| {
-            traffic.target + span(traffic.target_stretch * self.usual_cost(at) / traffic.threads.max(1.0))
-        });
-        let shortest = shortest.min().unwrap_or(Duration::MAX);
+        let way =
+            |(at, t): (usize, &TrafficType)| t.target_stretch * self.usual_cost(at) / t.threads.max(1.0);
+        let ways = self.traffic.iter().enumerate().map(|t| t.1.target + span(way(t)));
+        let shortest = ways.min().unwrap_or(Duration::MAX);
+        // Guards against crowds that no fleet could serve, which each input would go through: more work than
+        // four times (so far off may the part be) what this router's part of all cores does until its target.
+        let cores = self.engines.values().filter(|e| !e.gone).map(|e| self.fleet.kinds[e.kind].cores);
+        let (most, mut before) = (4.0 * sight.share * cores.sum::<f64>(), 0.0);
+        let behind = |(at, (id, task)): (usize, (&TaskId, &Task))| {
+            let work = before + task.ideal * self.traffic[task.traffic].threads;
+            let fits = at < SAMPLES || work <= most * seconds(task.target.saturating_sub(task.arrived));
+            before = if fits { work } else { before };
+            (!fits && task.hops.is_empty()).then_some(*id)
+        };
+        let held = self.tasks.iter().filter(|(_, task)| task.held()).enumerate();
+        let crowd: BTreeSet<TaskId> = held.filter_map(behind).collect();
         let in_vain = |router: &Self, id: TaskId, task: &Task| {
             let (run, memory) = (task.ideal * sight.runs[task.traffic], task.tier_memory());
             // What is learned from those sent judges no type of which none came back lately.
@@ -955,15 +959,15 @@
             let run = span(if task.told_cost.is_some() || back() { run } else { 0.0 });
             // Behind others of its key it takes no room; late it may still earn.
             if !router.has_turn(id, task, now) {
-                let late = router.traffic[task.traffic].late_share > 0.0;
-                return now + run > if late { task.patience } else { task.target };
+                let earns_late = router.traffic[task.traffic].late_share > 0.0;
+                return now + run > if earns_late { task.patience } else { task.target };
             }
             let tiers = sight.gateways.iter().map(|gateway| gateway.tier(memory));
             let hold = HOLD[tiers.min().unwrap_or(Tier::Largest) as usize];
             let alone = task.told_cost.is_some() || task.key.is_some();
             let way = task.target.saturating_sub(task.arrived);
             let time_out = task.arrived + if alone { way } else { way.min(shortest) }.mul_f64(hold);
-            now + run > task.target || now > time_out
+            now + run > task.target || now > time_out || crowd.contains(&id)
         };
         self.refuse(|router, id, task| task.held() && in_vain(router, id, task), out)
     }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -821,3 +821,24 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn a_crowd_that_no_fleet_could_serve_is_refused_at_once() {
+    let mut trace = Trace::new(1, |_, _, _| ());
+    trace.accept(0, 0, 0.0).at(4000).answered(0, 0, 4000, counted(40.0)).accept(0, 0, 0.0).decided();
+    // Alone each takes 0.8 s and is wanted within 2.6: eight cores do 26 until then, and four times as many may wait.
+    trace.at(8100);
+    for _ in 0..108 {
+        trace.accept(0, 0, 0.0);
+    }
+    expect![[r#"
+        8100  cancel task 1 hop 0
+        8100  task 2 gets 0 MB, priority 1
+        8100  task 2 to engine 0 until 16080
+        8100  cancel task 2 hop 0
+        8100  bounce task 107, back after 400
+        8100  bounce task 108, back after 400
+        8100  bounce task 109, back after 400
+    "#]]
+    .assert_eq(&trace.decided());
+}
