Tasks in flight show pressure at two threads a core, as run times do, not at one

A log of all refusals: 11 or 12 of 12 engines pressed and each router's part of the pool full (30 of 32 threads), while runs stood at 1.2 to 1.6 of idle ones and engines at 1.2 threads a core in truth. Ruled out: sick engines (none or one), run times, the crowd's bound (41 % of the refusals, but all behind the same line). Line at fault: pressed(), which took tasks in flight over cores like a told part of busy cores: 0.95 counts as all. That part can't pass 1; tasks in flight can, and the design's own measure of pressure is a latency of twice the best. Change: read from tasks in flight, cores count as full at PRESSED times as much; where cores are told, that alone counts. Guards nothing new; could do harm where threads compute without reading and two a core thrash already.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -286,7 +286,6 @@
                 Notice::WaitsForLoad => engine.held.extend(task.group.map(|group| (group, now))),
                 _ => {}
             }
-            // A spill tells of a cut grant only where the grant was named after what the task told.
             let cut = self.fleet.cuts_grants && task.told_memory.is_some();
             let short = cut && matches!(notice, Notice::Spills(_)) || notice == Notice::WaitsForMemory;
             engine.refused = short.then_some(now).or(engine.refused);
@@ -346,6 +345,7 @@
     fn report(&mut self, now: Duration, id: EngineId, signals: Option<Signals>, ended: TaskId) {
         let Some((mut signals, engine)) = signals.zip(self.engines.get_mut(&id)) else { return };
         // Where cores are not told, the tasks in flight tell how many threads stand for them.
+        signals.in_flight = signals.in_flight.filter(|_| signals.busy.is_none());
         let out = self.tasks.values().filter(|task| task.out());
         let threads = mean(out.map(|task| self.traffic[task.traffic].threads)).unwrap_or(1.0);
         let crowd = signals.in_flight.map(|tasks| tasks * threads / self.fleet.kinds[engine.kind].cores);
@@ -472,7 +472,8 @@
         let from = now.saturating_sub(self.beat() * 2);
         let refused = engine.refused.is_some_and(|at| at >= from);
         let reported = engine.report.as_ref().filter(|(at, _)| *at >= from).map(|(_, s)| {
-            let full = [s.busy, s.memory, s.disks].iter().any(|part| part.is_some_and(|p| p >= FULL));
+            let cores = s.busy.map(|busy| busy / if s.in_flight.is_some() { PRESSED } else { 1.0 });
+            let full = [cores, s.memory, s.disks].iter().any(|part| part.is_some_and(|p| p >= FULL));
             full || s.waiting.is_some_and(|w| w >= 1.0)
         });
         if refused { Some(true) } else { [reported, slow].into_iter().flatten().reduce(|a, b| a || b) }
@@ -957,7 +958,6 @@
             // What is learned from those sent judges no type of which none came back lately.
             let back = || router.learned[task.traffic].stretches.since(from).next().is_some();
             let run = span(if task.told_cost.is_some() || back() { run } else { 0.0 });
-            // Behind others of its key it takes no room; late it may still earn.
             if !router.has_turn(id, task, now) {
                 let earns_late = router.traffic[task.traffic].late_share > 0.0;
                 return now + run > if earns_late { task.patience } else { task.target };
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -842,3 +842,17 @@
     "#]]
     .assert_eq(&trace.decided());
 }
+
+#[test]
+fn tasks_in_flight_show_pressure_at_two_threads_a_core_and_not_at_one() {
+    let mut trace = Trace::new(1, |fleet, _, _| fleet.routers = 4);
+    trace.accept(0, 0, 0.0).at(50).answered(0, 0, 50, counted(8.5)).accept(0, 0, 0.0).decided();
+    trace.accept(0, 0, 0.0).accept(0, 0, 0.0).at(100).answered(1, 0, 50, counted(15.5)).accept(0, 0, 0.0);
+    expect![[r#"
+        50    task 2 gets 0 MB, priority 1
+        50    task 2 to engine 0 until 8030
+        50    task 3 gets 0 MB, priority 1
+        50    task 3 to engine 0 until 8030
+    "#]]
+    .assert_eq(&trace.decided());
+}
