--- /dev/null
+++ b/crates/fault-shim/src/sockets.rs
@@ -0,0 +1,114 @@
+//! Socket calls that fail for a moment.
+
+use crate::failures::Failures;
+use libc::{c_int, c_void, size_t, sockaddr, socklen_t, ssize_t};
+use std::sync::OnceLock;
+
+static ACCEPTS: Failures = Failures::new(&[libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EINTR]);
+static SOCKETS: Failures = Failures::new(&[libc::ENFILE, libc::ENOBUFS, libc::EMFILE]);
+static CONNECTS: Failures = Failures::new(&[libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::ENOBUFS]);
+static RECEIVES: Failures = Failures::new(&[libc::EINTR]);
+static SENDS: Failures = Failures::new(&[libc::EINTR]);
+
+/// The function of this name in the library that comes next.
+fn next_function(name: &'static std::ffi::CStr) -> *mut c_void {
+    // SAFETY: the name is a C string, and the handle is a constant of the library.
+    let function = unsafe { libc::dlsym(libc::RTLD_NEXT, name.as_ptr()) };
+    assert!(!function.is_null(), "the C library has {name:?}");
+    function
+}
+
+/// Defines a function that looks up the one that it replaces once.
+macro_rules! replaced {
+    ($lookup:ident, $name:literal, $signature:ty) => {
+        fn $lookup() -> $signature {
+            static FUNCTION: OnceLock<$signature> = OnceLock::new();
+            // SAFETY: the C library's function of this name has this signature.
+            *FUNCTION.get_or_init(|| unsafe {
+                std::mem::transmute::<*mut c_void, $signature>(next_function($name))
+            })
+        }
+    };
+}
+
+type AcceptFunction = unsafe extern "C" fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int;
+type SocketFunction = unsafe extern "C" fn(c_int, c_int, c_int) -> c_int;
+type ConnectFunction = unsafe extern "C" fn(c_int, *const sockaddr, socklen_t) -> c_int;
+type ReceiveFunction = unsafe extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t;
+type SendFunction = unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t;
+
+replaced!(real_accept4, c"accept4", AcceptFunction);
+replaced!(real_socket, c"socket", SocketFunction);
+replaced!(real_connect, c"connect", ConnectFunction);
+replaced!(real_recv, c"recv", ReceiveFunction);
+replaced!(real_send, c"send", SendFunction);
+
+/// In place of the C library's function.
+///
+/// # Safety
+/// As for the function that this replaces.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn accept4(
+    socket: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    if ACCEPTS.next().is_some() {
+        return -1;
+    }
+    // SAFETY: by this function's contract.
+    unsafe { real_accept4()(socket, address, length, flags) }
+}
+
+/// In place of the C library's function.
+///
+/// # Safety
+/// As for the function that this replaces.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    if domain == libc::AF_INET && SOCKETS.next().is_some() {
+        return -1;
+    }
+    // SAFETY: by this function's contract.
+    unsafe { real_socket()(domain, kind, protocol) }
+}
+
+/// In place of the C library's function.
+///
+/// # Safety
+/// As for the function that this replaces.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn connect(socket: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    if CONNECTS.next().is_some() {
+        return -1;
+    }
+    // SAFETY: by this function's contract.
+    unsafe { real_connect()(socket, address, length) }
+}
+
+/// In place of the C library's function.
+///
+/// # Safety
+/// As for the function that this replaces.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recv(socket: c_int, buffer: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
+    if RECEIVES.next().is_some() {
+        return -1;
+    }
+    // SAFETY: by this function's contract.
+    unsafe { real_recv()(socket, buffer, length, flags) }
+}
+
+/// In place of the C library's function.
+///
+/// # Safety
+/// As for the function that this replaces.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn send(socket: c_int, buffer: *const c_void, length: size_t, flags: c_int) -> ssize_t {
+    if SENDS.next().is_some() {
+        return -1;
+    }
+    // SAFETY: by this function's contract.
+    unsafe { real_send()(socket, buffer, length, flags) }
+}
--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,576 @@
+//! One run: engines, discovery, clients and routers, driven by one loop over sockets and timers.
+
+use crate::clients::Clients;
+use crate::config::{self, RouterAddresses, ZONES, longest_deadline, profile};
+use crate::discovery::{Discovery, DiscoveryFault, Endpoint, EngineState};
+use crate::engines::{EngineFault, EngineTimer, Engines};
+use crate::faults::{self, Fault, FaultKind};
+use crate::invariants::Terms;
+use crate::options::RunOptions;
+use crate::records::{Class, ColdStart, Drain, Outage, OutageKind, Records};
+use crate::routers::{ProcessFaults, Router, RouterPhase};
+use mio::{Events, Poll, Registry, Token};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Ranges of tokens.
+const DISCOVERY_TOKENS: usize = 0;
+const CLIENT_TOKENS: usize = 1000;
+const ENGINE_TOKENS: usize = 100_000;
+/// Of each engine.
+pub const CORES: f64 = 2.0;
+/// A router must be ready within this time.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+/// How often routers that start are asked whether they serve.
+const STATUS_INTERVAL: Duration = Duration::from_millis(50);
+/// How often the loop looks how late it is, and what the routers use.
+const TICK: Duration = Duration::from_millis(20);
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
+/// SIGKILL comes so long after the longest deadline after SIGTERM.
+const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
+/// How long a router is down between two lives.
+const DOWN_FOR: Duration = Duration::from_millis(300);
+/// How long a drained engine stays up, and how long until a cold one takes its place.
+const DRAINED_FOR: Duration = Duration::from_secs(3);
+/// How many times as much clients send in a burst.
+const BURST_FACTOR: f64 = 4.0;
+const CROWD: usize = 300;
+/// Parts of clients that withdraw, and that close, before their answer.
+const WITHDRAW_PART: f64 = 0.04;
+const CLOSE_PART: f64 = 0.02;
+
+/// What falls due.
+enum Timer {
+    Arrival { router: usize },
+    Withdraw(String),
+    Close(String),
+    Engine(EngineTimer),
+    Fault(Fault),
+    EngineFaultEnds { engines: Vec<usize> },
+    EnginesEnd { engines: Vec<usize> },
+    EnginesReturn { engines: Vec<usize> },
+    DiscoveryReturns,
+    RouterKilled { router: usize },
+    RouterStarts { router: usize },
+    RouterContinues { router: usize, stopped_at: Duration },
+    Heartbeat,
+    AskStatus,
+    Tick,
+    Sample,
+}
+
+/// Where the programs under test are.
+pub struct Programs {
+    pub router: PathBuf,
+    pub shim: PathBuf,
+}
+
+/// A run.
+pub struct World {
+    poll: Poll,
+    started: Instant,
+    timers: BTreeMap<(Duration, u64), Timer>,
+    timers_set: u64,
+    rng: StdRng,
+    options: RunOptions,
+    programs: Programs,
+    engines: Engines,
+    discovery: Discovery,
+    clients: Clients,
+    routers: Vec<Router>,
+    /// Until when each router's clients send several times as much, and when its new connections end.
+    burst_until: Vec<Duration>,
+    records: Records,
+    pub faults: Vec<Fault>,
+    /// When the last request is sent.
+    end: Duration,
+}
+
+impl World {
+    /// Starts engines, discovery and routers.
+    pub fn start(options: RunOptions, seed: u64, programs: Programs, directory: &Path) -> io::Result<Self> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let poll = Poll::new()?;
+        let registry = poll.registry();
+        let engines = start_engines(options.engines.into(), registry)?;
+        let endpoint = |(engine, known): (usize, &crate::engines::Engine)| Endpoint {
+            engine,
+            address: known.address,
+            state: EngineState::Ready,
+            up_since_ms: 0,
+        };
+        let endpoints: Vec<Endpoint> = engines.engines.iter().enumerate().map(endpoint).collect();
+        let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let discovery = Discovery::start(loopback, endpoints, DISCOVERY_TOKENS, registry)?;
+        let mut routers = Vec::new();
+        for index in 0..usize::from(options.routers) {
+            let faults = process_faults(&options, &mut rng);
+            routers.push(Router::new(index, free_address()?, directory, faults));
+        }
+        let end = Duration::from_secs_f64(options.seconds);
+        let faults = faults::draw(&mut rng, &options.fault_kinds(), options.seconds);
+        let clients = Clients::new(CLIENT_TOKENS, ENGINE_TOKENS, StdRng::seed_from_u64(seed ^ 1));
+        let records = Records { usage: vec![Default::default(); routers.len()], ..Records::default() };
+        Ok(Self {
+            poll,
+            started: Instant::now(),
+            timers: BTreeMap::new(),
+            timers_set: 0,
+            rng,
+            burst_until: vec![Duration::ZERO; routers.len()],
+            options,
+            programs,
+            engines,
+            discovery,
+            clients,
+            routers,
+            records,
+            faults,
+            end,
+        })
+    }
+
+    /// What the settings say that the judgement needs.
+    pub fn terms(&self) -> Terms {
+        Terms {
+            slow_start: config::slow_start(CORES),
+            limits: config::Limits::default(),
+            end: self.now(),
+            mean_work: config::mean_work(),
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn set(&mut self, at: Duration, timer: Timer) {
+        self.timers_set += 1;
+        self.timers.insert((at, self.timers_set), timer);
+    }
+
+    /// Plays to the end and returns what was seen.
+    pub fn play(&mut self, progress: &mut impl FnMut(Duration)) -> io::Result<Records> {
+        for router in 0..self.routers.len() {
+            self.start_router(router)?;
+        }
+        self.wait_until_ready()?;
+        // Time counts from when all are ready.
+        let offset = self.now();
+        self.schedule_run(offset);
+        let quiet = longest_deadline() + Duration::from_secs(1);
+        let last = self.end + quiet;
+        let mut printed = Duration::ZERO;
+        while self.now() < last {
+            self.turn()?;
+            if self.now() >= printed + Duration::from_secs(1) {
+                printed = self.now();
+                progress(printed);
+            }
+        }
+        for router in &mut self.routers {
+            router.kill();
+        }
+        Ok(std::mem::take(&mut self.records))
+    }
+
+    fn schedule_run(&mut self, offset: Duration) {
+        self.end += offset;
+        for router in 0..self.routers.len() {
+            self.set(offset, Timer::Arrival { router });
+        }
+        for fault in self.faults.clone() {
+            self.set(offset + fault.at, Timer::Fault(fault));
+        }
+        self.set(offset, Timer::Tick);
+        self.set(offset, Timer::Sample);
+        self.records.longest_stall = Duration::ZERO;
+    }
+
+    fn wait_until_ready(&mut self) -> io::Result<()> {
+        self.set(Duration::ZERO, Timer::Heartbeat);
+        self.set(Duration::ZERO, Timer::AskStatus);
+        while self.routers.iter().any(|router| router.phase == RouterPhase::Starting) {
+            self.turn()?;
+            if self.now() > READY_WITHIN * 3 {
+                return Err(io::Error::other("the routers do not become ready"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits for sockets and the next timer, and handles them.
+    fn turn(&mut self) -> io::Result<()> {
+        let next = self.timers.first_key_value().map(|((at, _), _)| *at);
+        let wait = next.map_or(TICK, |at| at.saturating_sub(self.now()).min(TICK));
+        let mut events = Events::with_capacity(1024);
+        match self.poll.poll(&mut events, Some(wait)) {
+            Err(error) if error.kind() != io::ErrorKind::Interrupted => return Err(error),
+            _ => {}
+        }
+        for event in &events {
+            self.socket_ready(event.token());
+        }
+        for (at, timer) in std::mem::take(&mut self.engines.timers) {
+            self.set(at, Timer::Engine(timer));
+        }
+        for router in std::mem::take(&mut self.clients.serving) {
+            if self.routers[router].phase == RouterPhase::Starting {
+                self.routers[router].phase = RouterPhase::Serving;
+            }
+        }
+        while let Some(entry) = self.timers.first_entry() {
+            let now = self.started.elapsed();
+            let (at, _) = *entry.key();
+            if at > now {
+                break;
+            }
+            let timer = entry.remove();
+            self.timer_expired(timer, at, now)?;
+        }
+        Ok(())
+    }
+
+    fn socket_ready(&mut self, token: Token) {
+        let now = self.now();
+        if self.engines.owns(token) {
+            self.engines.ready(token, now, self.poll.registry(), &mut self.records);
+        } else if self.clients.owns(token) {
+            self.clients.ready(token, now, &mut self.records);
+        } else {
+            self.discovery.ready(token, self.poll.registry());
+        }
+    }
+
+    fn timer_expired(&mut self, timer: Timer, due: Duration, now: Duration) -> io::Result<()> {
+        match timer {
+            Timer::Arrival { router } => self.arrival(router, now),
+            Timer::Withdraw(name) => self.clients.withdraw(&name, now, &mut self.records),
+            Timer::Close(name) => self.clients.close_connection_of(&name, now, &mut self.records),
+            Timer::Engine(timer) => self.engines.timer_expired(timer, now, &mut self.records),
+            Timer::Fault(fault) => self.strike(fault, now)?,
+            Timer::EngineFaultEnds { engines } => self.set_engine_faults(&engines, EngineFault::None, now),
+            Timer::EnginesEnd { engines } => self.end_engines(engines, now),
+            Timer::EnginesReturn { engines } => self.return_engines(&engines, now)?,
+            Timer::DiscoveryReturns => {
+                self.discovery.set_fault(DiscoveryFault::None, self.poll.registry())?;
+            }
+            Timer::RouterKilled { router } => self.router_killed(router, now),
+            Timer::RouterStarts { router } => self.start_router(router)?,
+            Timer::RouterContinues { router, stopped_at } => self.router_continues(router, stopped_at, now),
+            Timer::Heartbeat => {
+                self.discovery.send_heartbeats();
+                self.clients.close_idle(now);
+                self.set(due + Discovery::HEARTBEAT_INTERVAL, Timer::Heartbeat);
+            }
+            Timer::AskStatus => self.ask_status(now),
+            Timer::Tick => {
+                self.records.longest_stall = self.records.longest_stall.max(now - due);
+                self.set(now + TICK, Timer::Tick);
+            }
+            Timer::Sample => self.sample(now),
+        }
+        Ok(())
+    }
+
+    /// Sends a request to a router and draws the next.
+    fn arrival(&mut self, router: usize, now: Duration) {
+        let is_burst = now < self.burst_until[router];
+        let rate = self.options.rate * if is_burst { BURST_FACTOR } else { 1.0 };
+        let gap = Exp::new(rate).map_or(1.0, |exponential| exponential.sample(&mut self.rng));
+        let next = now + Duration::from_secs_f64(gap);
+        if next < self.end {
+            self.set(next, Timer::Arrival { router });
+        }
+        let (phase, address) = (self.routers[router].phase, self.routers[router].address);
+        if !matches!(phase, RouterPhase::Serving | RouterPhase::Ending | RouterPhase::Stopped) {
+            return;
+        }
+        let class = self.draw_class();
+        let registry = self.poll.registry();
+        let sent = self.clients.send_request(router, address, class, now, registry, &mut self.records);
+        let Some(name) = sent else { return };
+        let leave_at = now + profile(class).deadline.mul_f64(self.rng.random_range(0.0..0.8));
+        let chance: f64 = self.rng.random();
+        if chance < WITHDRAW_PART {
+            self.set(leave_at, Timer::Withdraw(name));
+        } else if chance < WITHDRAW_PART + CLOSE_PART {
+            self.set(leave_at, Timer::Close(name));
+        }
+    }
+
+    fn draw_class(&mut self) -> Class {
+        let mut chance: f64 = self.rng.random();
+        for class in Class::ALL {
+            chance -= profile(class).share;
+            if chance <= 0.0 {
+                return class;
+            }
+        }
+        Class::Lookup
+    }
+
+    /// Engines that are listed as ready, a part of them drawn at random.
+    fn draw_engines(&mut self, part: f64) -> Vec<usize> {
+        let ready = |endpoint: &&Endpoint| endpoint.state == EngineState::Ready;
+        let ready: Vec<usize> = self.discovery.endpoints.iter().filter(ready).map(|row| row.engine).collect();
+        let mut drawn: Vec<usize> = ready.into_iter().filter(|_| self.rng.random_bool(part)).collect();
+        drawn.truncate(self.discovery.endpoints.len() / 3);
+        drawn
+    }
+
+    fn strike(&mut self, fault: Fault, now: Duration) -> io::Result<()> {
+        let router = fault.target % self.routers.len();
+        match fault.kind {
+            FaultKind::Silent => self.engines_fail(fault, EngineFault::Silent, now),
+            FaultKind::Mute => self.engines_fail(fault, EngineFault::Mute, now),
+            FaultKind::Slow => self.engines_fail(fault, EngineFault::Slow(8.0), now),
+            FaultKind::Failing => self.engines_fail(fault, EngineFault::Failing, now),
+            FaultKind::Truncating => self.engines_fail(fault, EngineFault::Truncating, now),
+            FaultKind::Pieces => self.engines_fail(fault, EngineFault::InPieces, now),
+            FaultKind::Reset => {
+                for engine in self.draw_engines(fault.part) {
+                    self.engines.reset_connections(engine, now, &mut self.records);
+                }
+            }
+            FaultKind::Drain => self.drain_engines(fault, now),
+            FaultKind::Crash => {
+                let engines = self.draw_engines(fault.part);
+                self.crash_engines(engines, fault.span, now);
+            }
+            FaultKind::Zone => {
+                let zone = fault.target % ZONES.len();
+                let rows = self.discovery.endpoints.iter();
+                let rows = rows.filter(|row| row.zone() == zone && row.state == EngineState::Ready);
+                let engines = rows.map(|row| row.engine).collect();
+                self.crash_engines(engines, fault.span, now);
+            }
+            FaultKind::DiscoveryDown => self.discovery_fails(DiscoveryFault::Down, fault, now)?,
+            FaultKind::DiscoverySilent => self.discovery_fails(DiscoveryFault::Silent, fault, now)?,
+            FaultKind::List => self.discovery.repeat_complete_list(),
+            FaultKind::Term => self.end_router(router, now),
+            FaultKind::Kill => self.kill_router(router, now),
+            FaultKind::Stop => self.stop_router(router, fault, now),
+            FaultKind::Reload => self.routers[router].signal(libc::SIGHUP),
+            FaultKind::Leave => self.clients.leave_in_a_burst(router, now, &mut self.records),
+            FaultKind::Burst => self.burst_until[router] = now + fault.span,
+            FaultKind::Crowd => {
+                let address = self.routers[router].address;
+                for _ in 0..CROWD {
+                    self.clients.idle_connection(router, address, now, self.poll.registry());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn engines_fail(&mut self, fault: Fault, how: EngineFault, now: Duration) {
+        let engines = self.draw_engines(fault.part);
+        self.set_engine_faults(&engines, how, now);
+        self.set(now + fault.span, Timer::EngineFaultEnds { engines });
+    }
+
+    fn set_engine_faults(&mut self, engines: &[usize], how: EngineFault, now: Duration) {
+        for engine in engines {
+            self.engines.set_fault(*engine, how, now, &mut self.records);
+        }
+    }
+
+    fn list(&mut self, engines: &[usize], state: EngineState, up_since_ms: u64, now: Duration) {
+        let row = |engine: &usize| Endpoint { state, up_since_ms, ..self.discovery.endpoints[*engine] };
+        let changed = engines.iter().map(row).collect();
+        self.discovery.change(changed);
+        for engine in engines {
+            match state {
+                EngineState::Ready => {
+                    let drains = self.records.drains.iter_mut();
+                    let mut drains = drains.filter(|drain| drain.engine == *engine && drain.until.is_none());
+                    if let Some(drain) = drains.next() {
+                        drain.until = Some(now);
+                    }
+                }
+                EngineState::Draining => {
+                    self.records.drains.push(Drain { engine: *engine, listed_at: now, until: None });
+                }
+                EngineState::Removed => {}
+            }
+        }
+    }
+
+    fn drain_engines(&mut self, fault: Fault, now: Duration) {
+        let engines = self.draw_engines(fault.part);
+        let launched: Vec<u64> =
+            engines.iter().map(|engine| self.discovery.endpoints[*engine].up_since_ms).collect();
+        for (engine, up_since_ms) in engines.iter().zip(launched) {
+            self.list(&[*engine], EngineState::Draining, up_since_ms, now);
+        }
+        self.set(now + DRAINED_FOR, Timer::EnginesEnd { engines });
+    }
+
+    fn end_engines(&mut self, engines: Vec<usize>, now: Duration) {
+        for engine in &engines {
+            self.engines.stop(*engine, now, &mut self.records);
+        }
+        self.set(now + DOWN_FOR, Timer::EnginesReturn { engines });
+    }
+
+    fn crash_engines(&mut self, engines: Vec<usize>, span: Duration, now: Duration) {
+        for engine in &engines {
+            self.engines.stop(*engine, now, &mut self.records);
+        }
+        self.set(now + span, Timer::EnginesReturn { engines });
+    }
+
+    /// Engines start again, cold, and are listed so.
+    fn return_engines(&mut self, engines: &[usize], now: Duration) -> io::Result<()> {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        for engine in engines {
+            self.engines.restart(*engine, self.poll.registry())?;
+            self.records.cold_starts.push(ColdStart { engine: *engine, at: now, listed_at: now });
+        }
+        self.list(engines, EngineState::Ready, unix.as_millis() as u64, now);
+        Ok(())
+    }
+
+    fn discovery_fails(&mut self, how: DiscoveryFault, fault: Fault, now: Duration) -> io::Result<()> {
+        self.discovery.set_fault(how, self.poll.registry())?;
+        self.set(now + fault.span, Timer::DiscoveryReturns);
+        Ok(())
+    }
+
+    fn start_router(&mut self, router: usize) -> io::Result<()> {
+        let now = self.now();
+        let addresses =
+            RouterAddresses { listen: self.routers[router].address, discovery: self.discovery.address };
+        let fleet = self.options.fleet.unwrap_or(self.routers.len());
+        let (name, seed) = (format!("n{router}"), self.rng.random());
+        let config = config::router_config(&name, seed, &addresses, &self.discovery.known(), fleet, CORES);
+        let Programs { router: program, shim } = &self.programs;
+        self.routers[router].start(program, shim, &config.to_string(), now)
+    }
+
+    fn end_router(&mut self, router: usize, now: Duration) {
+        if self.routers[router].phase != RouterPhase::Serving {
+            return;
+        }
+        self.routers[router].signal(libc::SIGTERM);
+        self.routers[router].phase = RouterPhase::Ending;
+        self.set(now + longest_deadline() + KILL_AFTER_DEADLINE, Timer::RouterKilled { router });
+    }
+
+    fn router_killed(&mut self, router: usize, now: Duration) {
+        if self.routers[router].phase != RouterPhase::Ending {
+            return;
+        }
+        let from = now - longest_deadline() - KILL_AFTER_DEADLINE;
+        self.routers[router].kill();
+        self.records.outages.push(Outage { router, from, until: now, kind: OutageKind::Ended });
+        self.set(now + DOWN_FOR, Timer::RouterStarts { router });
+    }
+
+    fn kill_router(&mut self, router: usize, now: Duration) {
+        if self.routers[router].phase != RouterPhase::Serving {
+            return;
+        }
+        self.routers[router].kill();
+        self.records.outages.push(Outage { router, from: now, until: now, kind: OutageKind::Killed });
+        self.set(now + DOWN_FOR, Timer::RouterStarts { router });
+    }
+
+    fn stop_router(&mut self, router: usize, fault: Fault, now: Duration) {
+        if self.routers[router].phase != RouterPhase::Serving {
+            return;
+        }
+        self.routers[router].signal(libc::SIGSTOP);
+        self.routers[router].phase = RouterPhase::Stopped;
+        self.set(now + fault.span / 4, Timer::RouterContinues { router, stopped_at: now });
+    }
+
+    fn router_continues(&mut self, router: usize, stopped_at: Duration, now: Duration) {
+        self.routers[router].signal(libc::SIGCONT);
+        self.routers[router].phase = RouterPhase::Serving;
+        self.records.outages.push(Outage { router, from: stopped_at, until: now, kind: OutageKind::Stopped });
+    }
+
+    fn ask_status(&mut self, now: Duration) {
+        for router in 0..self.routers.len() {
+            let Router { phase, address, started_at, .. } = self.routers[router];
+            if phase != RouterPhase::Starting {
+                continue;
+            }
+            self.clients.ask_status(router, address, now, self.poll.registry());
+            if now > started_at + READY_WITHIN {
+                let outage = Outage { router, from: started_at, until: now, kind: OutageKind::NotReady };
+                let is_known = self.records.outages.iter().any(|other| other.from == started_at);
+                if !is_known {
+                    self.records.outages.push(outage);
+                }
+            }
+        }
+        self.set(now + STATUS_INTERVAL, Timer::AskStatus);
+    }
+
+    /// Notes what the routers use, and whether one has ended by itself.
+    fn sample(&mut self, now: Duration) {
+        for (index, router) in self.routers.iter_mut().enumerate() {
+            let most = &mut self.records.usage[index];
+            if let Some(usage) = router.usage() {
+                most.memory_kb = most.memory_kb.max(usage.memory_kb);
+                most.descriptors = most.descriptors.max(usage.descriptors);
+                most.cpu = most.cpu.max(usage.cpu);
+            }
+            if router.phase != RouterPhase::Ending && router.has_exited().is_some() {
+                router.phase = RouterPhase::Dead;
+                self.records.outages.push(Outage {
+                    router: index,
+                    from: now,
+                    until: now,
+                    kind: OutageKind::Crashed,
+                });
+            }
+        }
+        self.set(now + SAMPLE_INTERVAL, Timer::Sample);
+    }
+}
+
+/// Starts the engines in the first block of addresses that no other run uses.
+fn start_engines(count: usize, registry: &Registry) -> io::Result<Engines> {
+    /// Addresses 127.N.x.y with N from the first of these up.
+    const HOST_BLOCKS: std::ops::Range<u8> = 64..128;
+    let mut error = io::Error::from(io::ErrorKind::AddrInUse);
+    for host_block in HOST_BLOCKS {
+        match Engines::start(count, CORES, host_block, ENGINE_TOKENS, registry) {
+            Ok(engines) => return Ok(engines),
+            Err(cause) => error = cause,
+        }
+    }
+    Err(error)
+}
+
+/// Draws what is injected into a router's own process.
+fn process_faults(options: &RunOptions, rng: &mut StdRng) -> ProcessFaults {
+    let slowdown =
+        options.slowdown.unwrap_or_else(|| *[1.0, 1.0, 4.0, 8.0].get(rng.random_range(0..4)).unwrap_or(&1.0));
+    let steps = [0, 0, 3_000, -3_000, 3_600_000, -3_600_000];
+    let clock_step_ms = steps[rng.random_range(0..steps.len())];
+    let clock_step_at_ms = rng.random_range(1000..8000);
+    let fail_every = [0, 0, 37, 101][rng.random_range(0..4)];
+    if options.no_shim {
+        return if options.slowdown.is_some() {
+            ProcessFaults { slowdown, ..ProcessFaults::default() }
+        } else {
+            ProcessFaults::default()
+        };
+    }
+    ProcessFaults { slowdown, clock_step_ms, clock_step_at_ms, fail_every }
+}
+
+fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
