A call that waits for its connection names too long a deadline: a failing test

Call::encode runs in EnginePool::send (attempt.rs), at the scheduler's decision; the bytes are written once the connection is up and its socket takes them.

--- a/crates/router/tests/unit/engine_pool.rs
+++ b/crates/router/tests/unit/engine_pool.rs
@@ -159,3 +159,18 @@
             fixture.context.counters
         ));
 }
+
+/// Guards against a deadline passed on that is longer than what the client has left.
+#[test]
+fn a_call_that_waited_for_its_connection_names_the_time_that_is_left() {
+    let second = Duration::from_secs(1);
+    let mut fixture = Fixture::new(second, second * 2);
+    fixture.context.now = second / 2;
+    fixture.pool.connection_established(fixture.connection, &mut fixture.context);
+    let mut full = FullSocket(0);
+    fixture.pool.drain(fixture.connection, &mut full).expect("a full socket only blocks");
+    fixture.context.now = second;
+    fixture.write();
+    let text = String::from_utf8(fixture.written).expect("the messages are text");
+    assert!(text.contains("budget=1000"), "{text}");
+}
