One gate before each call and close; deadlines, dials and clocks by what is true then

Cause: (1) a call's deadline was worked out at the decision (attempt.rs, Call::encode in send) and the call written later. (2) A decision may be older than a client's end that lies unread in its socket. (3) EnginePool::select_connection refused an attempt at the limit of connections although idle ones were held, and the end 'unreachable' blamed the engine; max_connections / engines was 0 beyond 341 engines. (4) A dial that failed locally (ENOBUFS, ENFILE, EADDRNOTAVAIL, ...) did the same. (5) The wall clock was read once: a step made each later launch wrong by as much. (6) An interrupted read of a lingering client counted as its end. (7) drain_unlisted compared each engine with each record. Change: gate.rs says whether a call may be written or a client closed, asked right before; refusals are counted (invariant_violations stops a debug build) and logged. Calls are encoded as they are written, after their clients' sockets were scanned. Idle connections make room; the router's own limit ends an attempt as void; local failures are dialled again. Launches keep the time that they were first given, the latest not in the future by all looks at the wall clock. Late turns are logged and counted.

--- a/crates/router/src/context.rs
+++ b/crates/router/src/context.rs
@@ -1,5 +1,6 @@
 //! What every part of the router uses: the time of the event in hand, the pending timers and the counters.
 
+use crate::clock::UnixZeros;
 use crate::counters::Counters;
 use crate::timers::Timers;
 use std::time::Duration;
@@ -9,8 +10,8 @@
 pub struct Context {
     /// The time of the event in hand, set by the caller before it hands over an event.
     pub now: Duration,
-    /// The clock's zero, as a span since the Unix epoch.
-    pub clock_zero: Duration,
+    /// Where the clock has its zero on the wall clock.
+    pub unix_zeros: UnixZeros,
     /// The pending timers.
     pub timers: Timers,
     /// Counters of events and of violated invariants.
@@ -23,8 +24,17 @@
         self.now
     }
 
-    /// Converts Unix milliseconds to the router's clock; times before the clock's zero become zero.
+    /// Converts the Unix milliseconds of something that has happened to the router's clock; times before the clock's
+    /// zero become zero.
     pub fn at_unix_ms(&self, unix_ms: u64) -> Duration {
-        Duration::from_millis(unix_ms).saturating_sub(self.clock_zero)
+        self.unix_zeros.time_of(Duration::from_millis(unix_ms), self.now)
+    }
+
+    /// Enters a look at the wall clock, which is logged where it has stepped.
+    pub fn note_unix_zero(&mut self, zero: Duration) {
+        if let Some(step) = self.unix_zeros.note(zero) {
+            self.counters.count("wall_clock_steps");
+            log::warn!("the wall clock has stepped: by={step:?}");
+        }
     }
 }
--- a/crates/router/src/engine_pool/attempt.rs
+++ b/crates/router/src/engine_pool/attempt.rs
@@ -27,18 +27,46 @@
     pub deadline: Duration,
 }
 
-impl Call<'_> {
-    fn encode(&self, now: Duration) -> Vec<u8> {
-        let budget_ms = whole_ms(self.deadline.saturating_sub(now)).max(1);
+/// A call that was not written yet. It is encoded right before, since it names the time that is left.
+#[derive(Clone)]
+pub(super) struct UnwrittenCall {
+    class: String,
+    opkey: Option<String>,
+    statement: Vec<u8>,
+    grant_mb: f64,
+    priority: u8,
+    /// Encoded messages that follow it.
+    followed_by: Vec<u8>,
+    /// Bytes of its encoding, once it is part of its connection's output.
+    pub encoded_bytes: usize,
+}
+
+impl UnwrittenCall {
+    fn new(call: &Call<'_>) -> Self {
+        Self {
+            class: call.class.to_owned(),
+            opkey: call.opkey.map(str::to_owned),
+            statement: call.statement.to_vec(),
+            grant_mb: call.grant_mb,
+            priority: call.priority,
+            followed_by: Vec::new(),
+            encoded_bytes: 0,
+        }
+    }
+
+    /// The call's message, for a request that has so much time left.
+    pub fn encode(&self, id: &str, time_left: Duration) -> Vec<u8> {
         let fields = [
             Some(format!("queue={}", self.class)),
-            Some(format!("budget={budget_ms}")),
-            self.opkey.map(|key| format!("uniq={key}")),
+            Some(format!("budget={}", whole_ms(time_left).max(1))),
+            self.opkey.as_ref().map(|key| format!("uniq={key}")),
             (self.grant_mb >= 1.0).then(|| format!("mem={}", self.grant_mb.round() as u64)),
             Some(format!("prio={}", self.priority)),
         ];
         let fields = fields.into_iter().flatten().collect::<Vec<_>>().join(",");
-        EngineCommand::Run { id: self.id, fields: &fields, statement: self.statement }.encode()
+        let mut bytes = EngineCommand::Run { id, fields: &fields, statement: &self.statement }.encode();
+        bytes.extend(&self.followed_by);
+        bytes
     }
 }
 
@@ -51,8 +79,8 @@
     pub connection: Option<Slot>,
     /// The id of its request.
     pub id: String,
-    /// Its encoded call; empty once that has been written.
-    pub call: Vec<u8>,
+    /// Its call; `None` once that has been written.
+    pub call: Option<UnwrittenCall>,
     pub sent_at: Duration,
     pub deadline: Duration,
     /// Where its call begins in all output of its connection, once it is part of that.
@@ -92,7 +120,7 @@
             engine,
             connection: None,
             id: call.id.to_owned(),
-            call: call.encode(now),
+            call: Some(UnwrittenCall::new(&call)),
             sent_at: now,
             deadline: call.deadline,
             call_offset: None,
@@ -120,7 +148,8 @@
         }
         match self.select_connection(engine, &id, &excluded, context) {
             Some(connection) => self.enqueue_call(slot, connection, context),
-            None => self.end(slot, AttemptOutcome::Unreachable, None, context),
+            // The router's own limit says nothing of the engine.
+            None => self.end(slot, AttemptOutcome::Void, None, context),
         }
     }
 
@@ -140,9 +169,10 @@
         let Some(attempt) = self.attempts.get_mut(slot) else { return false };
         let connection = attempt.connection.and_then(|connection| self.connections.get_mut(connection));
         let Some(connection) = connection else { return false };
-        let is_unsent = attempt.call_offset == Some(connection.output.passed()) && !attempt.call.is_empty();
+        let Some(call) = &attempt.call else { return false };
+        let is_unsent = attempt.call_offset == Some(connection.output.passed());
         if is_unsent {
-            connection.output.cut(attempt.call.len());
+            connection.output.cut(call.encoded_bytes);
             attempt.call_offset = None;
         }
         is_unsent
@@ -154,9 +184,9 @@
             return;
         };
         let bytes = EngineCommand::Priority { id: &attempt.id, priority }.encode();
-        match attempt.call_offset {
-            Some(_) => self.write(slot, &bytes, context),
-            None => attempt.call.extend(bytes),
+        match &mut attempt.call {
+            Some(call) if attempt.call_offset.is_none() => call.followed_by.extend(bytes),
+            _ => self.write(slot, &bytes, context),
         }
     }
 
--- a/crates/router/src/engine_pool/connection.rs
+++ b/crates/router/src/engine_pool/connection.rs
@@ -16,6 +16,10 @@
 /// The share of an engine's idle time after which the router closes an idle connection itself.
 pub(super) const IDLE_SHARE: f64 = 0.8;
 
+/// Connections that an engine may have however many engines there are: a connection's end is the end of all that it
+/// carries.
+const FEWEST_CONNECTIONS: usize = 4;
+
 /// Whether an engine was reached over a connection that has ended. If it was, the end says nothing of the engine, and calls
 /// not yet written move to another connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -122,20 +126,31 @@
             let latest = Reverse(connection.last_reply_at);
             (connection.attempts.len(), !connection.is_established(), latest)
         });
-        let engine_share = self.max_connections / self.engines.len();
+        let engine_share = (self.max_connections / self.engines.len()).max(FEWEST_CONNECTIONS);
         let is_full = self.connections.len() >= self.max_connections;
         if let Some((slot, connection)) = least_loaded
             && (connection.attempts.is_empty() || is_full || connections.len() >= engine_share)
         {
             return Some(slot);
         }
-        if is_full {
+        if is_full && !self.close_longest_idle(context) {
             context.counters.count("connections_over_the_limit");
             return None;
         }
         self.dial(engine, context)
     }
 
+    /// Makes room for another connection: closes the one that was idle longest; returns whether there was one.
+    fn close_longest_idle(&mut self, context: &mut Context) -> bool {
+        let idle = self.connections.iter().filter(|(_, connection)| connection.attempts.is_empty());
+        let Some((slot, _)) = idle.min_by_key(|(_, connection)| connection.last_reply_at) else {
+            return false;
+        };
+        context.counters.count("connections_closed_for_room");
+        self.close_connection(slot, "idle, closed for another engine", Reachability::Reachable, context);
+        true
+    }
+
     fn dial(&mut self, engine: EngineId, context: &mut Context) -> Option<Slot> {
         let known = self.engines.get_mut(&engine)?;
         let now = context.now();
--- a/crates/router/src/engine_pool/endpoints.rs
+++ b/crates/router/src/engine_pool/endpoints.rs
@@ -6,6 +6,7 @@
 use crate::discovery::EndpointRecord;
 use crate::slots::Slot;
 use emberflow::{AttemptOutcome, Endpoint, EngineId};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,7 +18,9 @@
     pub address: SocketAddr,
     /// Whether calls may be sent to it.
     pub ready: bool,
-    /// When its process started, where the list says so.
+    /// When its process started, as the list says in Unix milliseconds; 0 where it does not.
+    pub up_since_ms: u64,
+    /// The same on the router's clock.
     pub launched: Option<Duration>,
     pub connections: Vec<Slot>,
 }
@@ -26,20 +29,21 @@
     /// Adds or updates an engine by its endpoint record, and returns the endpoint under the engine's number. A draining
     /// engine gets no further call; connections to a process that has ended since are closed.
     pub fn update_endpoint(&mut self, record: &EndpointRecord, context: &mut Context) -> Endpoint {
-        let launched = (record.up_since_ms > 0).then(|| context.at_unix_ms(record.up_since_ms));
-        let engine = self.engine_number(record, launched);
+        let engine = self.engine_number(record);
         if !record.is_ready() {
             self.void_unsent_attempts(engine, context);
         }
         let known = self.engines.get_mut(&engine).expect("an engine with a number is in the table");
         known.address = record.address;
         known.ready = record.is_ready();
-        if known.launched != launched
-            && let Some(at) = launched
-        {
-            known.launched = launched;
+        // A launch that was listed before keeps its time, whatever the wall clock has done since.
+        if record.up_since_ms > 0 && known.up_since_ms != record.up_since_ms {
+            let at = context.at_unix_ms(record.up_since_ms);
+            known.up_since_ms = record.up_since_ms;
+            known.launched = Some(at);
             self.close_connections_before(engine, at, context);
         }
+        let launched = self.engines.get(&engine).and_then(|known| known.launched);
         Endpoint {
             engine,
             location: record.location,
@@ -51,14 +55,15 @@
     }
 
     /// The number of an engine; one seen for the first time gets the next.
-    fn engine_number(&mut self, record: &EndpointRecord, launched: Option<Duration>) -> EngineId {
+    fn engine_number(&mut self, record: &EndpointRecord) -> EngineId {
         let engine = *self.engine_ids.entry(record.id).or_insert(self.next_engine);
         if engine == self.next_engine {
             let new = Engine {
                 id: record.id,
                 address: record.address,
                 ready: record.is_ready(),
-                launched,
+                up_since_ms: 0,
+                launched: None,
                 connections: Vec::new(),
             };
             self.engines.insert(engine, new);
@@ -79,7 +84,8 @@
 
     /// Drains the engines that a complete endpoint list no longer holds: they get no further call.
     pub fn drain_unlisted(&mut self, records: &[EndpointRecord], context: &mut Context) {
-        let is_unlisted = |known: &Engine| known.ready && !records.iter().any(|record| record.id == known.id);
+        let listed: BTreeSet<u32> = records.iter().map(|record| record.id).collect();
+        let is_unlisted = |known: &Engine| known.ready && !listed.contains(&known.id);
         let unlisted = self.engines.iter().filter(|(_, known)| is_unlisted(known));
         let unlisted: Vec<EngineId> = unlisted.map(|(engine, _)| *engine).collect();
         for engine in unlisted {
--- a/crates/router/src/engine_pool/fingerprint.rs
+++ b/crates/router/src/engine_pool/fingerprint.rs
@@ -75,7 +75,7 @@
 impl Attempt {
     fn fingerprint(&self, time: &RelativeTime, indexes: &BTreeMap<Slot, usize>, hasher: &mut impl Hasher) {
         time.micros(self.deadline).hash(hasher);
-        (self.reassigned, self.resend_disabled, self.call.is_empty()).hash(hasher);
+        (self.reassigned, self.resend_disabled, self.call.is_none()).hash(hasher);
         self.cancelled_at.map(|at| time.micros(at)).hash(hasher);
         let excluded = self.excluded_connections.iter().filter_map(|connection| indexes.get(connection));
         excluded.for_each(|index| index.hash(hasher));
--- a/crates/router/src/event_loop.rs
+++ b/crates/router/src/event_loop.rs
@@ -29,11 +29,15 @@
 use poll_times::PollTimes;
 use reload::ReloadRetry;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Lines taken from clients, and chunks drained from a closed one, in one turn of the loop.
 const MAX_READS_PER_TURN: usize = 64;
 
+/// A turn of the loop that takes longer is logged.
+const LATE_TURN: Duration = Duration::from_millis(50);
+
 /// The function that reads the configuration, at the start and at each reload.
 type ReadBootstrap = Box<dyn Fn() -> Result<Bootstrap, ConfigError>>;
 
@@ -46,6 +50,8 @@
     clients: BTreeMap<Slot, RegisteredSocket<RouterLoop>>,
     /// Connections to engines.
     connections: BTreeMap<Slot, RegisteredSocket<RouterLoop>>,
+    /// Addresses of connections to engines that are dialled again.
+    redials: BTreeMap<Slot, SocketAddr>,
     discovery: Option<RegisteredSocket<RouterLoop>>,
     /// Connections of clients that are closed for writing and still drained.
     lingering: BTreeMap<Slot, RegisteredSocket<RouterLoop>>,
@@ -83,6 +89,7 @@
             polled.map_err(ServeError::event_loop("waiting for events"))?;
             router_loop.poll_times.poll_ended(&router_loop.clock);
             router_loop.handle_events();
+            router_loop.note_turn();
         }
         router_loop.drain_clients(&mut event_loop);
         log::info!("counters at exit: {}", router_loop.server.dispatcher.counters_line());
@@ -100,7 +107,8 @@
     ) -> Result<Self, ServeError> {
         let listener = Listener::open(&loop_handle, &bootstrap.config)?;
         let clock = Clock::starting(bootstrap.attempt_limits.warm_up);
-        let context = Context { now: clock.now(), clock_zero: clock.zero(), ..Context::default() };
+        let mut context = Context { now: clock.now(), ..Context::default() };
+        context.note_unix_zero(clock.unix_zero());
         let server = Server::new(bootstrap, context);
         let mut router_loop = Self {
             server,
@@ -110,6 +118,7 @@
             listener,
             clients: BTreeMap::new(),
             connections: BTreeMap::new(),
+            redials: BTreeMap::new(),
             discovery: None,
             lingering: BTreeMap::new(),
             undrained: Vec::new(),
@@ -153,6 +162,8 @@
             self.drain_lingering(slot);
         }
         if std::mem::take(&mut self.discovery_is_ready) {
+            let zero = self.clock.unix_zero();
+            self.server.context().note_unix_zero(zero);
             self.discovery_ready();
         }
         for signal in std::mem::take(&mut self.signals) {
@@ -169,6 +180,18 @@
         self.apply_changes();
     }
 
+    /// Counts and logs a turn that took long: what came meanwhile was handled late.
+    fn note_turn(&mut self) {
+        let took = self.poll_times.handling_time(&self.clock);
+        if took >= LATE_TURN {
+            let counters = &mut self.server.context().counters;
+            counters.count("late_turns");
+            let (requests, engines) =
+                (self.server.dispatcher.requests.len(), self.server.dispatcher.engines.size());
+            log::warn!("late turn: took={took:?} open_requests={requests} {engines:?}");
+        }
+    }
+
     fn read_clients(&mut self) {
         for _ in 0..MAX_READS_PER_TURN {
             self.handle_expired_timers();
@@ -206,6 +229,7 @@
             Timer::ShutdownCheck => self.read_before_shutdown(),
             Timer::Reload => self.reload(),
             Timer::Linger(slot) => drop(self.lingering.remove(&slot)),
+            Timer::Redial(slot) => self.redial_engine(slot),
             Timer::Wake | Timer::ConnectionIdle(_) | Timer::AdmissionQueue => {}
         }
     }
--- a/crates/router/src/event_loop/client_sockets.rs
+++ b/crates/router/src/event_loop/client_sockets.rs
@@ -1,6 +1,7 @@
 //! Reading from clients and writing to them.
 
 use super::RouterLoop;
+use crate::gate::CloseReason;
 use crate::slots::Slot;
 use std::io::{self, Read};
 use std::net::TcpStream;
@@ -34,12 +35,17 @@
         }
         self.update_time();
         let slots = std::mem::take(&mut self.clients_to_scan);
-        let reader = |slot| Some((slot, SocketReader(Rc::clone(&self.clients.get(&slot)?.socket))));
-        let clients: Vec<_> = slots.into_iter().filter_map(reader).collect();
-        self.server.scan_clients(self.poll_times.earliest_arrival(), clients);
+        self.scan(&slots);
         self.apply_changes();
     }
 
+    /// Scans what some clients have sent.
+    pub(super) fn scan(&mut self, slots: &[Slot]) {
+        let reader = |slot: &Slot| Some((*slot, SocketReader(Rc::clone(&self.clients.get(slot)?.socket))));
+        let clients: Vec<_> = slots.iter().filter_map(reader).collect();
+        self.server.scan_clients(self.poll_times.earliest_arrival(), clients);
+    }
+
     /// Reads the next line of a client, which was received at `received_since` at the earliest.
     pub(super) fn read_client(&mut self, slot: Slot, received_since: Duration) {
         self.update_time();
@@ -60,7 +66,7 @@
         let Some(registered) = self.clients.get(&slot) else { return true };
         let is_written = self.server.dispatcher.clients.drain(slot, &mut &*registered.socket).is_ok();
         if !is_written {
-            self.server.close_client(slot, "writing to it failed");
+            self.server.close_client(slot, CloseReason::Fault, "writing to it failed");
         }
         is_written
     }
--- a/crates/router/src/event_loop/lingering.rs
+++ b/crates/router/src/event_loop/lingering.rs
@@ -63,6 +63,7 @@
             Ok(0) => return Filled::Closed,
             Ok(_) => {}
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Filled::Drained,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             Err(_) => return Filled::Closed,
         }
     }
--- a/crates/router/src/event_loop/listener.rs
+++ b/crates/router/src/event_loop/listener.rs
@@ -4,6 +4,7 @@
 use crate::clients::CROSSING;
 use crate::config::RouterConfig;
 use crate::error::ServeError;
+use crate::gate::CloseReason;
 use crate::slots::Slot;
 use crate::sockets::{RegisteredSocket, listen};
 use crate::timers::Timer;
@@ -135,7 +136,7 @@
 
     fn close_for_capacity(&mut self, slot: Slot) {
         self.server.context().counters.count("clients_closed_for_room");
-        self.server.close_client(slot, "idle, closed for a new client");
+        self.server.close_client(slot, CloseReason::Idle, "idle, closed for a new client");
         self.apply_changes();
     }
 
--- a/crates/router/src/event_loop/poll_times.rs
+++ b/crates/router/src/event_loop/poll_times.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// How long the events of the last poll have been handled for.
+    pub fn handling_time(&self, clock: &Clock) -> Duration {
+        clock.now().saturating_sub(self.polled_at)
+    }
+
     /// The earliest time at which what the last poll has found can have arrived: it was not there at the poll
     /// before, and may have come while that one's events were handled. A request's deadline counts from then.
     pub fn earliest_arrival(&self) -> Duration {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod engine_pool;
 pub mod error;
 pub mod event_loop;
+pub mod gate;
 pub mod jsonrpc;
 mod ready_list;
 pub mod request_table;
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -130,7 +130,8 @@
             | Timer::ResumeAccepting
             | Timer::AdmissionQueue
             | Timer::Reload
-            | Timer::Linger(_) => {}
+            | Timer::Linger(_)
+            | Timer::Redial(_) => {}
         }
         self.process_events();
     }
--- a/crates/router/src/server/clients.rs
+++ b/crates/router/src/server/clients.rs
@@ -3,6 +3,7 @@
 use super::{ClosedClient, Server};
 use crate::clients::{IdleCheck, ReadOutcome};
 use crate::dispatch::{Dispatcher, RequestOutcome};
+use crate::gate::{self, CloseReason};
 use crate::jsonrpc::{self, RequestError, RequestErrorKind};
 use crate::slots::Slot;
 use crate::timers::Timer;
@@ -46,7 +47,7 @@
             }
             ReadOutcome::EndOfInput => self.clients_departed(Vec::new(), vec![slot]),
             ReadOutcome::Closed => {
-                self.close_client(slot, "reset or closed by the client");
+                self.close_client(slot, CloseReason::Fault, "reset or closed by the client");
                 return false;
             }
             ReadOutcome::Pending => return false,
@@ -141,12 +142,12 @@
     pub fn close_finished_clients(&mut self) {
         for slot in std::mem::take(&mut self.dispatcher.clients.maybe_finished) {
             if self.dispatcher.clients.is_finished(slot) {
-                self.close_client(slot, "finished");
+                self.close_client(slot, CloseReason::Finished, "finished");
             }
         }
         while let Some(slot) = self.dispatcher.clients.slowest_reader() {
             self.dispatcher.context.counters.count("clients_too_slow");
-            self.close_client(slot, "reads its answers too slowly");
+            self.close_client(slot, CloseReason::Fault, "reads its answers too slowly");
         }
     }
 
@@ -161,17 +162,22 @@
             IdleCheck::Stalled => {
                 self.dispatcher.context.counters.count("clients_stalled");
                 self.reject_line(slot, RequestError::new(None, RequestErrorKind::LineIncomplete));
-                self.close_client(slot, "stopped within a line");
+                self.close_client(slot, CloseReason::Fault, "stopped within a line");
             }
             IdleCheck::Idle => {
                 self.dispatcher.context.counters.count("clients_idle");
-                self.close_client(slot, "idle");
+                self.close_client(slot, CloseReason::Idle, "idle");
             }
         }
     }
 
-    /// Closes a client's connection; its open requests are withdrawn.
-    pub fn close_client(&mut self, slot: Slot, reason: &str) {
+    /// Closes a client's connection, if the gate lets it; its open requests are withdrawn.
+    pub fn close_client(&mut self, slot: Slot, cause: CloseReason, reason: &str) {
+        let Some(client) = self.dispatcher.clients.table.get(slot) else { return };
+        if !gate::may_close(cause, client.open.len()) {
+            log::error!("client not closed: client={slot:?} reason={reason:?} {}", client.summary());
+            return self.dispatcher.context.counters.must(false, "invariant_violations");
+        }
         let open = self.remove_client(slot, reason);
         if !open.is_empty() {
             self.clients_departed(open, Vec::new());
--- a/crates/router/src/timers.rs
+++ b/crates/router/src/timers.rs
@@ -31,6 +31,8 @@
     Linger(Slot),
     /// Something is due in the admission queue.
     AdmissionQueue,
+    /// A connection to an engine is dialled again, after a local failure.
+    Redial(Slot),
 }
 
 /// The pending timers. The same timer may be pending at several times.
