--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -223,7 +223,7 @@
         let place = token.0 - self.first_token;
         let Some(Some(connection)) = self.connections.get_mut(place) else { return };
         connection.stream.flush();
-        let state = connection.stream.fill();
+        let state = connection.stream.fill(now);
         while let Some(line) = self.take_line(place) {
             self.handle_line(place, &line, now, records);
         }
--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -180,7 +180,7 @@
 
     fn subscriber_ready(&mut self, place: usize) {
         let Some(Some(subscriber)) = self.subscribers.get_mut(place) else { return };
-        let state = subscriber.stream.fill();
+        let state = subscriber.stream.fill(Duration::ZERO);
         if subscriber.last_event.is_none()
             && let Some((number, _)) = subscriber.stream.input.split_first_chunk::<RESUME_BYTES>()
         {
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -61,6 +61,15 @@
     stream: Stream,
 }
 
+/// A call as an engine reads it.
+struct Call<'a> {
+    id: &'a str,
+    terms: &'a str,
+    statement: &'a str,
+    /// When its last byte had arrived.
+    arrived_at: Duration,
+}
+
 /// What falls due at an engine.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EngineTimer {
@@ -153,14 +162,15 @@
         let Some(Some(connection)) = self.connections.get_mut(index) else { return };
         let engine = connection.engine;
         let fault = self.engines[engine].fault;
+        // What arrives at a silent engine has arrived, though it is handled later.
+        let state = connection.stream.fill(now);
         if fault == EngineFault::Silent {
             return;
         }
         connection.stream.is_muted = fault == EngineFault::Mute;
         connection.stream.piece_bytes = if fault == EngineFault::InPieces { 7 } else { 0 };
-        let state = connection.stream.fill();
-        while let Some(command) = self.take_command(index) {
-            self.handle(index, now, &command, records);
+        while let Some((command, arrived_at)) = self.take_command(index) {
+            self.handle(index, now, &command, arrived_at, records);
         }
         let Some(Some(connection)) = self.connections.get_mut(index) else { return };
         if state == StreamState::Ended || connection.stream.flush() == StreamState::Ended {
@@ -168,34 +178,36 @@
         }
     }
 
-    /// Takes the next complete command out of a connection's input.
-    fn take_command(&mut self, index: usize) -> Option<Vec<String>> {
+    /// Takes the next complete command out of a connection's input, with the time at which it had arrived.
+    fn take_command(&mut self, index: usize) -> Option<(Vec<String>, Duration)> {
         let stream = &mut self.connections.get_mut(index)?.as_mut()?.stream;
         let Ok(Some(resp::Array { parts, length })) = resp::parse_array(&stream.input) else { return None };
         let words = parts.iter().map(|part| String::from_utf8_lossy(part).into_owned()).collect();
-        stream.input.drain(..length);
-        Some(words)
+        Some((words, stream.consume(length)))
     }
 
-    fn handle(&mut self, connection: usize, now: Duration, command: &[String], records: &mut Records) {
+    fn handle(
+        &mut self,
+        connection: usize,
+        now: Duration,
+        command: &[String],
+        arrived_at: Duration,
+        records: &mut Records,
+    ) {
         let word = |index: usize| command.get(index).map_or("", String::as_str);
         match word(0) {
-            "GET" => self.call(connection, now, word(1), word(2), word(3), records),
+            "GET" => {
+                let call = Call { id: word(1), terms: word(2), statement: word(3), arrived_at };
+                self.call(connection, now, &call, records);
+            }
             "DROP" => self.stop_run(connection, word(1), now, records),
             "PING" => self.send(connection, &[word(1).as_bytes(), b"PONG", b"-", b""]),
             _ => {}
         }
     }
 
-    fn call(
-        &mut self,
-        connection: usize,
-        now: Duration,
-        id: &str,
-        terms: &str,
-        statement: &str,
-        records: &mut Records,
-    ) {
+    fn call(&mut self, connection: usize, now: Duration, call: &Call<'_>, records: &mut Records) {
+        let Call { id, terms, statement, arrived_at } = *call;
         let Some(Some(EngineConnection { engine, .. })) = self.connections.get(connection) else { return };
         let engine_index = *engine;
         let field = |text: &str, name: &str| -> Option<f64> {
@@ -207,7 +219,7 @@
         let has_capacity = engine.running.len() < most;
         let started = has_capacity && !is_failing;
         let budget = Duration::from_millis(field(terms, "budget").unwrap_or(0.0) as u64);
-        let attempt = Attempt { at: now, engine: engine_index, budget, started, ended_at: None };
+        let attempt = Attempt { at: arrived_at, engine: engine_index, budget, started, ended_at: None };
         let Some(request) = records.requests.get_mut(id) else { return };
         request.attempts.push(attempt);
         if !started {
--- a/crates/soak/src/sockets.rs
+++ b/crates/soak/src/sockets.rs
@@ -2,6 +2,7 @@
 
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::Shutdown;
 use std::time::Duration;
@@ -21,6 +22,10 @@
 pub struct Stream {
     socket: TcpStream,
     pub input: Vec<u8>,
+    /// Offsets of the input's end among all that was read, and when so much had arrived.
+    arrivals: VecDeque<(u64, Duration)>,
+    /// Bytes that were taken out of the input.
+    consumed: u64,
     output: Vec<u8>,
     /// While set nothing is written; what is to be written waits.
     pub is_muted: bool,
@@ -34,11 +39,47 @@
         registry.register(&mut socket, token, Interest::READABLE | Interest::WRITABLE)?;
         // A connection that is being made accepts this as well.
         let _ = socket.set_nodelay(true);
-        Ok(Self { socket, input: Vec::new(), output: Vec::new(), is_muted: false, piece_bytes: 0 })
+        Ok(Self {
+            socket,
+            input: Vec::new(),
+            arrivals: VecDeque::new(),
+            consumed: 0,
+            output: Vec::new(),
+            is_muted: false,
+            piece_bytes: 0,
+        })
     }
 
-    /// Reads all that has arrived.
-    pub fn fill(&mut self) -> StreamState {
+    /// Reads all that has arrived by now.
+    pub fn fill(&mut self, now: Duration) -> StreamState {
+        let length_before = self.input.len();
+        let state = self.read();
+        if self.input.len() > length_before {
+            self.arrivals.push_back((self.consumed + self.input.len() as u64, now));
+        }
+        state
+    }
+
+    /// Takes bytes out of the front of the input; returns when the last of them had arrived.
+    pub fn consume(&mut self, count: usize) -> Duration {
+        self.input.drain(..count);
+        self.consumed += count as u64;
+        let mut arrived_at = Duration::ZERO;
+        while let Some((end, at)) = self.arrivals.front() {
+            arrived_at = *at;
+            if *end > self.consumed {
+                break;
+            }
+            let is_last = *end == self.consumed;
+            self.arrivals.pop_front();
+            if is_last {
+                break;
+            }
+        }
+        arrived_at
+    }
+
+    fn read(&mut self) -> StreamState {
         let mut chunk = [0; READ_CHUNK_BYTES];
         while self.input.len() < MOST_BUFFERED_BYTES {
             match self.socket.read(&mut chunk) {
