--- a/src/policy/load.rs
+++ b/src/policy/load.rs
@@ -41,8 +41,8 @@
     }
 
     /// What this router has in flight at an engine, of attempts sent since `from`.
-    pub fn own_load(&self, now: Duration, id: EngineId, from: Duration) -> Resources {
-        let attempts = self.engines[&id].in_flight.iter();
+    pub fn own_load(&self, now: Duration, engine: &Engine, from: Duration) -> Resources {
+        let attempts = engine.in_flight.iter();
         let attempts = attempts.filter(|attempt| attempt.sent_at >= from && !self.is_lost(now, attempt));
         attempts.map(InFlight::resources).fold(Resources::NONE, Resources::plus)
     }
@@ -51,12 +51,12 @@
     /// fades into the mean of all.
     pub fn projected_load(
         &self,
-        id: EngineId,
+        engine: &Engine,
         request: &Request,
         grant_mb: f64,
         snapshot: &FleetSnapshot,
     ) -> ProjectedLoad {
-        let (now, engine) = (snapshot.now, &self.engines[&id]);
+        let now = snapshot.now;
         let (share, engine_share) = (snapshot.share, snapshot.engine_share);
         let (kind, gateway) = (&self.fleet.kinds[engine.kind], &snapshot.gateways[engine.kind]);
         let threads = self.classes[request.class].threads;
@@ -65,9 +65,9 @@
             threads: (own.threads + threads) / kind.cores,
         };
         let objective = self.shortest_objective();
-        let since = |from: Duration| self.own_load(now, id, from.saturating_sub(objective));
+        let since = |from: Duration| self.own_load(now, engine, from.saturating_sub(objective));
         // Other routers, as many as the share tells, spread evenly.
-        let own = self.own_load(now, id, Duration::ZERO);
+        let own = self.own_load(now, engine, Duration::ZERO);
         let others = (1.0 / share - 1.0) / gateway.engine_count;
         let alone = parts_with_request(own.plus(gateway.own.scaled(others)));
         let fresh = parts_with_request(since(now));
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -13,6 +13,13 @@
     free_part: f64,
 }
 
+/// An engine that a request may be sent to.
+struct Candidate<'a> {
+    id: EngineId,
+    engine: &'a Engine,
+    view: &'a EngineView,
+}
+
 /// What a request needs of an engine of one kind.
 struct Needs {
     tier: Tier,
@@ -33,18 +40,18 @@
         };
         let needs: Vec<Needs> = snapshot.gateways.iter().enumerate().map(needs_of).collect();
         let (mut free, mut full) = (Vec::new(), Vec::new());
-        let candidates = self.candidates(request, snapshot);
-        snapshot.engines_examined += snapshot.engines.len() as u64;
-        for (engine, kind) in candidates {
+        for candidate in self.candidates(request, snapshot) {
+            let (engine, kind) = (candidate.id, candidate.engine.kind);
             let tier = needs[kind].tier;
             if snapshot.blocked_tiers.contains(&(kind, tier)) {
                 continue;
             }
-            match self.free_at(engine, request, &needs[kind], snapshot) {
+            match self.free_at(&candidate, request, &needs[kind], snapshot) {
                 Some(free_part) => free.push(Placement { engine, kind, tier, free_part }),
                 None => full.push((kind, tier)),
             }
         }
+        snapshot.engines_examined += snapshot.engines.len() as u64;
         // Whoever had the choice of all engines keeps later ones of the tier behind it.
         if self.may_go_anywhere(request) {
             let slot = |placement: &Placement| (placement.kind, placement.tier);
@@ -54,17 +61,19 @@
         self.best_place(request, free, snapshot.now)
     }
 
-    /// Engines that a request may be sent to, and their kinds: outliers by a trickle, unless all look bad.
-    fn candidates(&self, request: &Request, snapshot: &FleetSnapshot) -> Vec<(EngineId, usize)> {
-        let in_view = snapshot.engines.keys().map(|id| (id, &self.engines[id]));
-        let allowed = in_view.filter(|(id, engine)| {
-            self.is_allowed(request, engine) && self.fits_slow_start(**id, request, snapshot)
-        });
-        let mut candidates: Vec<(EngineId, usize)> = allowed.map(|(id, engine)| (*id, engine.kind)).collect();
-        let is_healthy = |id: EngineId| !snapshot.engines[&id].is_outlier;
-        if candidates.iter().any(|(id, _)| is_healthy(*id)) {
-            let may_trickle = |id: &EngineId| self.may_trickle(&self.engines[id], snapshot);
-            candidates.retain(|(id, _)| is_healthy(*id) || may_trickle(id));
+    /// Engines that a request may be sent to: outliers by a trickle, unless all look bad.
+    fn candidates<'a>(&'a self, request: &Request, snapshot: &'a FleetSnapshot) -> Vec<Candidate<'a>> {
+        let in_view =
+            snapshot.engines.iter().map(|(id, view)| Candidate { id: *id, engine: &self.engines[id], view });
+        let mut candidates: Vec<Candidate<'a>> = in_view
+            .filter(|Candidate { id, engine, .. }| {
+                self.is_allowed(request, engine) && self.fits_slow_start(*id, engine, request, snapshot)
+            })
+            .collect();
+        if candidates.iter().any(|candidate| !candidate.view.is_outlier) {
+            candidates.retain(|Candidate { engine, view, .. }| {
+                !view.is_outlier || self.may_trickle(engine, snapshot)
+            });
         }
         candidates
     }
@@ -72,15 +81,15 @@
     /// Part of an engine that stays free once it has the request; `None` where it has no room for it.
     fn free_at(
         &self,
-        id: EngineId,
+        candidate: &Candidate<'_>,
         request: &Request,
         needs: &Needs,
         snapshot: &FleetSnapshot,
     ) -> Option<f64> {
         let Needs { tier, grant_mb } = *needs;
-        let engine = &self.engines[&id];
+        let Candidate { engine, view, .. } = *candidate;
         let gateway = &snapshot.gateways[engine.kind];
-        let load = self.projected_load(id, request, grant_mb, snapshot);
+        let load = self.projected_load(engine, request, grant_mb, snapshot);
         let is_guess = engine.report.is_none() || self.fleet.reports_only_on_probe;
         let limit = if is_guess { gateway.unreported_fill } else { 1.0 };
         // A shortage noted since the last report, as for most engines when routers are many.
@@ -91,8 +100,8 @@
         let is_crowded = gateway.reports_in_flight && load.combined - load.memory > PRESSURE_SLOWDOWN * FULL;
         let fits = load.memory <= limit && !is_short && !is_crowded;
         let has_capacity = fits || gateway.own.threads == 0.0 || tier <= Tier::Small;
-        let free_part = 1.0 - load.combined / 2.0 * snapshot.engines[&id].relative_slowdown;
-        (has_capacity && self.has_slot(id, request, tier, snapshot)).then_some(free_part)
+        let free_part = 1.0 - load.combined / 2.0 * view.relative_slowdown;
+        (has_capacity && self.has_slot((engine, view), request, tier, snapshot)).then_some(free_part)
     }
 
     /// The engine with most free capacity; engines not tried yet and without loads in the way come first.
--- a/src/policy/pressure.rs
+++ b/src/policy/pressure.rs
@@ -52,32 +52,33 @@
     fn gateway(&self, now: Duration, kind: usize, share: f64, views: &EngineViews) -> Gateway {
         let EngineKind { cores, memory_mb } = self.fleet.kinds[kind];
         let of_kind = |engine: &Engine| engine.kind == kind && engine.lifecycle.accepts_requests();
-        let in_view = || views.keys().map(|id| (id, &self.engines[id]));
-        let engines = || in_view().filter(|(_, engine)| of_kind(engine));
-        let headroom = |id| match views[id].under_pressure {
+        let in_view = views.iter().map(|(id, view)| (&self.engines[id], view));
+        let members: Vec<(&Engine, &EngineView)> = in_view.filter(|(engine, _)| of_kind(engine)).collect();
+        let engines = || members.iter().copied();
+        let headroom = |view: &EngineView| match view.under_pressure {
             Some(true) => -1.0,
             Some(false) => 1.0,
             None => 0.0,
         };
-        let target_factor = 1.0 + mean(engines().map(|(id, _)| headroom(id))).unwrap_or(0.0) / 2.0;
-        let in_flight = || engines().flat_map(|(_, engine)| &engine.in_flight);
+        let target_factor = 1.0 + mean(engines().map(|(_, view)| headroom(view))).unwrap_or(0.0) / 2.0;
+        let in_flight = || engines().flat_map(|(engine, _)| &engine.in_flight);
         let count = |tier| in_flight().filter(|attempt| attempt.tier == tier).count() as f64;
-        let own = engines().map(|(id, _)| self.own_load(now, *id, Duration::ZERO));
-        let pressed = || engines().filter(|(id, _)| views[id].under_pressure == Some(true));
+        let own = engines().map(|(engine, _)| self.own_load(now, engine, Duration::ZERO));
+        let pressed = || engines().filter(|(_, view)| view.under_pressure == Some(true));
         // What waits at a jammed engine takes no more than its part, or one request, from the others.
         let one_request = self.classes.iter().map(|class| class.threads).fold(1.0, f64::max);
         let most = one_request.max(cores * self.engine_share(share));
-        let threads = |tier| pressed().map(|(_, engine)| engine.threads_in_flight(tier).min(most)).sum();
+        let threads = |tier| pressed().map(|(engine, _)| engine.threads_in_flight(tier).min(most)).sum();
         // The few that were probed tell nothing of the others.
         let may_compare = !self.fleet.reports_only_on_probe;
-        let reports = || engines().filter_map(|(_, engine)| engine.report.as_ref()).filter(|_| may_compare);
+        let reports = || engines().filter_map(|(engine, _)| engine.report.as_ref()).filter(|_| may_compare);
         Gateway {
             reported_memory: mean(reports().filter_map(|report| report.load.memory)),
             // What is in flight comes and goes too fast for a mean of old reports.
             reported_busy: mean(reports().filter_map(|r| r.load.busy.filter(|_| r.load.in_flight.is_none()))),
             reports_in_flight: reports().any(|report| report.load.in_flight.is_some()),
             own: own.fold(Resources::NONE, Resources::plus),
-            pressed_cores: pressed().map(|(id, _)| views[id].limit_factor * cores).sum(),
+            pressed_cores: pressed().map(|(_, view)| view.limit_factor * cores).sum(),
             pressed_threads: [Tier::Unblocked, Tier::Small, Tier::Medium, Tier::Largest].map(threads),
             unblocked_mb: memory_mb / cores * UNBLOCKED_PART,
             memory_target_mb: memory_mb * share * MEMORY_TARGET_PART * target_factor,
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -9,8 +9,14 @@
     /// Guards warming engines: this router's part of what a starting engine takes in any window, by the usual
     /// work of the request class. With many routers that is under one request: then one in a longer window,
     /// from a point in it that chance sets, so that the parts still add up, to half of the whole at most.
-    pub fn fits_slow_start(&self, id: EngineId, request: &Request, snapshot: &FleetSnapshot) -> bool {
-        let (engine, now) = (&self.engines[&id], snapshot.now);
+    pub fn fits_slow_start(
+        &self,
+        id: EngineId,
+        engine: &Engine,
+        request: &Request,
+        snapshot: &FleetSnapshot,
+    ) -> bool {
+        let now = snapshot.now;
         let Some(budget) = self.slow_start_budget(engine, now, snapshot.slow_start_share) else {
             return true;
         };
--- a/src/policy/subsetting.rs
+++ b/src/policy/subsetting.rs
@@ -44,11 +44,14 @@
         let Some(subset) = self.engine_index.subset() else {
             return self.engines.keys().copied().collect();
         };
-        let mut in_view: BTreeSet<EngineId> = subset.union(busy).copied().collect();
+        let in_use = subset.union(busy).copied();
         // A repeat may be bound to the cell of the attempt before.
-        let retries = self.queued().filter_map(|(_, request)| self.bound_cell(request));
-        in_view.extend(retries.flat_map(|cell| self.engine_index.in_cell(cell)));
-        in_view.into_iter().collect()
+        let cells: Vec<u64> = self.queued().filter_map(|(_, request)| self.bound_cell(request)).collect();
+        if cells.is_empty() {
+            return in_use.collect();
+        }
+        let bound = cells.into_iter().flat_map(|cell| self.engine_index.in_cell(cell));
+        in_use.chain(bound).collect::<BTreeSet<_>>().into_iter().collect()
     }
 
     /// The cell that a request's next attempt is bound to.
--- a/src/policy/tiers.rs
+++ b/src/policy/tiers.rs
@@ -27,8 +27,14 @@
     /// Whether the tier has a slot open at an engine: largest one at a time, the others bound under pressure.
     /// Guards against surges and slow fleets: limits shrink as latency rises. Guards against many routers,
     /// whose one query at each engine adds up: parts under one are pooled over the engines under pressure.
-    pub fn has_slot(&self, id: EngineId, request: &Request, tier: Tier, snapshot: &FleetSnapshot) -> bool {
-        let (engine, view, share) = (&self.engines[&id], &snapshot.engines[&id], snapshot.engine_share);
+    pub fn has_slot(
+        &self,
+        (engine, view): (&Engine, &EngineView),
+        request: &Request,
+        tier: Tier,
+        snapshot: &FleetSnapshot,
+    ) -> bool {
+        let share = snapshot.engine_share;
         let gateway = &snapshot.gateways[engine.kind];
         let threads = self.classes[request.class].threads;
         let per_core = if tier == Tier::Small { SMALL_THREADS_PER_CORE } else { MEDIUM_THREADS_PER_CORE };
