Mutants: the copy that is built holds the benches too

Cause: the manifest names benches/large_fleet.rs, which the copy of the tree lacked: no mutant built. Change: benches is among the copied parts.

--- a/crates/model-checker/src/mutants/runner.rs
+++ b/crates/model-checker/src/mutants/runner.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 /// What of the repository a build of the model checker needs.
-const COPIED_PARTS: [&str; 5] = ["src", "crates", "tests", "Cargo.toml", "Cargo.lock"];
+const COPIED_PARTS: [&str; 6] = ["src", "benches", "crates", "tests", "Cargo.toml", "Cargo.lock"];
 /// The copy, below the root of the repository.
 const COPY: &str = "target/mutants/tree";
 /// The target folder of builds in the copy.
