--- a/benches/large_fleet.rs
+++ b/benches/large_fleet.rs
@@ -165,6 +165,23 @@
         });
     }
     group.finish();
+    let mut group = criterion.benchmark_group("complete list repeated");
+    for engines in SIZES {
+        let mut served = Served::new(engines);
+        group.bench_function(BenchmarkId::from_parameter(engines), |bencher| {
+            bencher.iter(|| {
+                let rows = (0..engines).map(|engine| endpoint(engine, Lifecycle::Ready)).collect();
+                let now = served.now();
+                served.scheduler.endpoints_changed(
+                    now,
+                    EndpointUpdate::FullList,
+                    rows,
+                    &mut LastSend::default(),
+                );
+            });
+        });
+    }
+    group.finish();
 }
 
 criterion_group!(benches, inputs);
--- a/src/state/engine.rs
+++ b/src/state/engine.rs
@@ -92,6 +92,16 @@
         }
     }
 
+    /// Whether a row of the list tells of a launch that was not known.
+    pub fn has_restarted(&self, row: &Endpoint) -> bool {
+        row.launched.is_some() && row.launched != self.launched
+    }
+
+    /// Whether a row of the list tells anything new.
+    pub fn differs_from(&self, row: &Endpoint) -> bool {
+        self.lifecycle != row.lifecycle || self.has_restarted(row)
+    }
+
     /// Notes the group that it reads, and keeps the last `capacity` of them.
     pub fn note_group(&mut self, group: Option<u64>, capacity: usize) {
         if let Some(group) = group {
--- a/src/state/recording.rs
+++ b/src/state/recording.rs
@@ -8,8 +8,7 @@
 use crate::{
     Arrival, AttemptEnded, Endpoint, EndpointUpdate, EngineId, Lifecycle, LoadReport, ProgressNote, RequestId,
 };
-use std::collections::BTreeSet;
-use std::collections::btree_map::{BTreeMap, Entry};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 impl SchedulerState {
@@ -188,27 +187,36 @@
             self.record_all_removed(&rows);
         }
         for row in rows {
-            let rank = self.rank(row.engine);
-            let new = || Engine::new(&row, now, self.window_sizes);
-            let engine = match self.engines.entry(row.engine) {
-                Entry::Vacant(entry) => entry.insert(new()),
-                Entry::Occupied(entry) => {
-                    let engine = entry.into_mut();
-                    self.engine_index.remove(row.engine, engine, rank);
-                    engine
-                }
-            };
-            engine.lifecycle = row.lifecycle;
-            if row.launched.is_some() && row.launched != engine.launched {
-                let before = std::mem::replace(engine, new());
-                engine.in_flight = before.in_flight;
-                engine.request_count = before.request_count;
-                engine.sent_work = before.sent_work;
+            match self.engines.get(&row.engine) {
+                None => self.record_new_engine(now, &row),
+                Some(engine) if engine.differs_from(&row) => self.record_changed_engine(now, &row),
+                // A complete list repeats thousands of rows: they cost a look each.
+                Some(_) => {}
             }
-            self.engine_index.insert(row.engine, engine, rank);
         }
     }
 
+    fn record_new_engine(&mut self, now: Duration, row: &Endpoint) {
+        let engine = Engine::new(row, now, self.window_sizes);
+        self.engine_index.insert(row.engine, &engine, self.rank(row.engine));
+        self.engines.insert(row.engine, engine);
+    }
+
+    fn record_changed_engine(&mut self, now: Duration, row: &Endpoint) {
+        let rank = self.rank(row.engine);
+        let engine = self.engines.get_mut(&row.engine).expect("an engine of the table");
+        self.engine_index.remove(row.engine, engine, rank);
+        engine.lifecycle = row.lifecycle;
+        if engine.has_restarted(row) {
+            let new = Engine::new(row, now, self.window_sizes);
+            let before = std::mem::replace(engine, new);
+            engine.in_flight = before.in_flight;
+            engine.request_count = before.request_count;
+            engine.sent_work = before.sent_work;
+        }
+        self.engine_index.insert(row.engine, engine, rank);
+    }
+
     /// Enters that all engines are gone but those of a complete list's rows, which follow.
     fn record_all_removed(&mut self, rows: &[Endpoint]) {
         let listed: BTreeSet<EngineId> = rows.iter().map(|row| row.engine).collect();
