A failed accept closes an idle client only where a descriptor is missing

Change: AcceptFailure classifies the error; accepting pauses for what passes by itself; the peek is repeated.

--- a/crates/router/src/event_loop/lingering.rs
+++ b/crates/router/src/event_loop/lingering.rs
@@ -20,7 +20,7 @@
         let ClosedClient { slot, mut output } = client;
         let Some(registered) = self.clients.remove(&slot) else { return };
         let _ = output.drain(&mut &*registered.socket);
-        let unread_bytes = registered.socket.peek(&mut [0; CHUNK_BYTES]).unwrap_or_default();
+        let unread_bytes = unread_bytes(&registered.socket);
         let unwritten_bytes = output.len();
         if unread_bytes + unwritten_bytes > 0 {
             log::debug!(
@@ -55,6 +55,17 @@
     }
 }
 
+/// Bytes that stand unread in a connection's socket, as far as one look shows them.
+fn unread_bytes(socket: &TcpStream) -> usize {
+    loop {
+        match socket.peek(&mut [0; CHUNK_BYTES]) {
+            Ok(count) => return count,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => return 0,
+        }
+    }
+}
+
 /// Discards what has arrived on a connection, as much as one turn of the loop takes.
 pub(super) fn drain_input(mut socket: &TcpStream) -> Filled {
     let mut chunk = [0; CHUNK_BYTES];
--- a/crates/router/src/event_loop/listener.rs
+++ b/crates/router/src/event_loop/listener.rs
@@ -46,6 +46,43 @@
     }
 }
 
+/// What a failed accept means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AcceptFailure {
+    /// No connection waits.
+    NothingWaits,
+    /// The connection that waited has failed; others may wait.
+    OfOneConnection,
+    /// The process has no descriptor left.
+    OutOfDescriptors,
+    /// The machine lacks something for a moment.
+    OutOfResources,
+}
+
+impl AcceptFailure {
+    /// By the error; Linux passes those of the connection's own network on as well.
+    fn of(error: &io::Error) -> Self {
+        match error.raw_os_error() {
+            Some(libc::EAGAIN) => Self::NothingWaits,
+            Some(libc::EMFILE) => Self::OutOfDescriptors,
+            Some(
+                libc::ECONNABORTED
+                | libc::EINTR
+                | libc::ENETDOWN
+                | libc::EPROTO
+                | libc::ENOPROTOOPT
+                | libc::EHOSTDOWN
+                | libc::ENONET
+                | libc::EHOSTUNREACH
+                | libc::EOPNOTSUPP
+                | libc::ENETUNREACH
+                | libc::ETIMEDOUT,
+            ) => Self::OfOneConnection,
+            _ => Self::OutOfResources,
+        }
+    }
+}
+
 /// Whether there may be more connections to accept.
 enum Accepting {
     Continue,
@@ -80,14 +117,17 @@
     }
 
     fn accept_failed(&mut self, error: &io::Error, idle_client: Option<Slot>) -> Accepting {
-        match error.kind() {
-            io::ErrorKind::WouldBlock => return Accepting::Finished,
-            io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted => return Accepting::Continue,
-            _ => {}
+        let failure = AcceptFailure::of(error);
+        match failure {
+            AcceptFailure::NothingWaits => return Accepting::Finished,
+            AcceptFailure::OfOneConnection => return Accepting::Continue,
+            AcceptFailure::OutOfDescriptors | AcceptFailure::OutOfResources => {}
         }
         self.server.context().counters.count("accepts_failed");
         log::warn!("accepting a connection failed: error={error:?}");
-        match idle_client.or_else(|| self.longest_idle_client()) {
+        // Another descriptor helps only where the process has run out of its own.
+        let helps = failure == AcceptFailure::OutOfDescriptors;
+        match idle_client.filter(|_| helps).or_else(|| helps.then(|| self.longest_idle_client()).flatten()) {
             Some(slot) => {
                 self.close_for_capacity(slot);
                 Accepting::Continue
@@ -157,3 +197,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/listener.rs"]
+mod tests;
