Soak: routers end with the soak, however it ends

Cause: a soak that was killed left its routers running (seen once: the long run was ended with its shell, and ten routers went on). Change: each router asks the kernel to be killed with its parent.

--- a/crates/soak/src/routers.rs
+++ b/crates/soak/src/routers.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File};
 use std::io;
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::time::Duration;
@@ -74,6 +75,7 @@
             command.env("FAULT_SHIM_CLOCK_STEP_AT_MS", clock_step_at_ms.to_string());
             command.env("FAULT_SHIM_FAIL_EVERY", fail_every.to_string());
         }
+        end_with_parent(&mut command);
         self.child = Some(command.spawn()?);
         self.starts += 1;
         self.phase = RouterPhase::Starting;
@@ -127,6 +129,17 @@
     }
 }
 
+/// Has a process killed when this one ends, however it ends.
+fn end_with_parent(command: &mut Command) {
+    let arrange = || {
+        // SAFETY: a system call without memory; the child has not begun its program yet.
+        let result = unsafe { libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) };
+        if result == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
+    };
+    // SAFETY: the closure allocates nothing and makes one system call.
+    unsafe { command.pre_exec(arrange) };
+}
+
 /// Processor time of a process, in user and kernel mode.
 fn cpu_time(process: &Path) -> Option<Duration> {
     /// Fields of `/proc/PID/stat` behind the program's name, from its state on.
