--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -328,6 +328,17 @@
         }
     }
 
+    /// Closes the connections of an engine that carry no request, whatever is on its way on them.
+    pub fn close_idle_connections(&mut self, engine: usize) {
+        let known = &mut self.engines[engine];
+        let carries = |index: usize| known.running.values().any(|run| run.connection == index);
+        let idle: Vec<usize> = known.connections.iter().copied().filter(|index| !carries(*index)).collect();
+        known.connections.retain(|index| !idle.contains(index));
+        for index in idle {
+            self.connections[index] = None;
+        }
+    }
+
     /// Ends an engine's process: connections are reset, new ones refused.
     pub fn stop(&mut self, engine: usize, now: Duration, records: &mut Records) {
         self.reset_connections(engine, now, records);
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -339,6 +339,11 @@
                     self.engines.reset_connections(engine, now, &mut self.records);
                 }
             }
+            FaultKind::IdleClose => {
+                for engine in self.draw_engines(fault.part) {
+                    self.engines.close_idle_connections(engine);
+                }
+            }
             FaultKind::Drain => self.drain_engines(fault, now),
             FaultKind::Crash => {
                 let engines = self.draw_engines(fault.part);
