--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -27,6 +27,8 @@
     stream: Stream,
     /// Names of the open requests by their ids on this connection.
     open: BTreeMap<u64, String>,
+    /// Requests that were not written to their last byte.
+    unwritten: Vec<String>,
     /// Ids that were answered.
     answered: BTreeSet<u64>,
     next_id: u64,
@@ -70,6 +72,7 @@
             router,
             stream,
             open: BTreeMap::new(),
+            unwritten: Vec::new(),
             answered: BTreeSet::new(),
             next_id: 1,
             last_used: now,
@@ -153,6 +156,11 @@
             },
         );
         self.send_line(place, &line);
+        if let Some(Some(connection)) = self.connections.get_mut(place)
+            && !connection.stream.is_flushed()
+        {
+            connection.unwritten.push(name.clone());
+        }
         Some(name)
     }
 
@@ -223,6 +231,13 @@
         let place = token.0 - self.first_token;
         let Some(Some(connection)) = self.connections.get_mut(place) else { return };
         connection.stream.flush();
+        if connection.stream.is_flushed() {
+            for name in std::mem::take(&mut connection.unwritten) {
+                if let Some(request) = records.requests.get_mut(&name) {
+                    request.sent_at = now;
+                }
+            }
+        }
         let state = connection.stream.fill(now);
         while let Some(line) = self.take_line(place) {
             self.handle_line(place, &line, now, records);
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -100,6 +100,8 @@
 pub struct Drain {
     pub engine: usize,
     pub listed_at: Duration,
+    /// When that counts as delivered to all routers.
+    pub delivered_at: Duration,
     /// When it was listed as ready again.
     pub until: Option<Duration>,
 }
@@ -149,11 +151,22 @@
     pub engine_connections: u64,
     /// Answers to requests that no client has sent on that connection.
     pub stray_answers: u64,
-    /// The longest time that the emulation itself did not look at its sockets.
-    pub longest_stall: Duration,
+    /// Spans in which the emulation itself did not look at its sockets.
+    pub stalls: Vec<(Duration, Duration)>,
 }
 
 impl Records {
+    /// The longest span in which the emulation did not look at its sockets.
+    pub fn longest_stall(&self) -> Duration {
+        self.stalls.iter().map(|(from, until)| *until - *from).max().unwrap_or_default()
+    }
+
+    /// For how long in all it did not look within a span.
+    pub fn stalled_within(&self, from: Duration, until: Duration) -> Duration {
+        let overlapping = self.stalls.iter().filter(|(begin, end)| *begin <= until && *end >= from);
+        overlapping.map(|(begin, end)| *end - *begin).sum()
+    }
+
     /// Parts of the requests whose clients stayed that succeeded in time.
     pub fn served(&self) -> f64 {
         let waited = self.requests.values().filter(|request| request.departure.is_none());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -111,7 +111,7 @@
             cpu_seconds: usage().map(|usage| usage.cpu.as_secs_f64()).fold(0.0, f64::max),
             memory_kb: usage().map(|usage| usage.memory_kb).max().unwrap_or(0),
             descriptors: usage().map(|usage| usage.descriptors).max().unwrap_or(0),
-            longest_stall_ms: records.longest_stall.as_millis(),
+            longest_stall_ms: records.longest_stall().as_millis(),
             violations: counts,
             stories: stories(&violations, records, directory),
             first_violations: violations.into_iter().take(STORIES).collect(),
