Model checker: a turn that comes late, and the mutants that answer too late are caught

Change: the request behind has half the deadline and unknown work, wake-ups come up to 8 ms late. A mutant that answers a queued request after twice its time joins the list.

--- a/crates/model-checker/src/module_model/scenarios.rs
+++ b/crates/model-checker/src/module_model/scenarios.rs
@@ -224,6 +224,22 @@
         max_departures: 1,
         ..Scenario::BASE
     },
+    Scenario {
+        name: "a turn that never comes",
+        description: "a request of unknown work and a short deadline behind one of its key that stays in flight, late wake-ups",
+        setup: setup!(|fleet, classes, attempt_limits| {
+            classes[0].keeps_order = true;
+            classes[4].keeps_order = true;
+            classes[0].late_share = 0.5;
+            classes[0].deadline = classes[4].deadline / 2;
+            attempt_limits.may_cancel = false;
+        }),
+        engines: &[engine(0, 0)],
+        requests: &[keyed_request(4, 1), RequestSpec { cost_ms: 0, ..keyed_request(0, 1) }],
+        outcomes: &[AttemptOutcome::Succeeded],
+        wake_up_delay: ms(8),
+        ..Scenario::BASE
+    },
     Scenario {
         name: "one key, non-idempotent",
         description: "two non-idempotent requests of one key that has a cooldown, no cancellation, a client that leaves its attempt in flight",
--- a/crates/model-checker/src/mutants.rs
+++ b/crates/model-checker/src/mutants.rs
@@ -155,6 +155,12 @@
         "may_cancel",
     ),
     scheduler("cancels where it may not", RETRIES, "may_cancel && !self", "!self"),
+    scheduler(
+        "a queued request answered long after its deadline",
+        DEADLINES,
+        "soon >= request.deadline ||",
+        "soon >= request.deadline + (request.deadline - request.arrived_at) ||",
+    ),
     scheduler("answers too late", DEADLINES, "let soon = now + self.final_answer_lead();", "let soon = now;"),
     scheduler(
         "no wake-up for an attempt in flight",
