--- a/crates/model-checker/src/wire.rs
+++ b/crates/model-checker/src/wire.rs
@@ -3,6 +3,7 @@
 //! The models of connections and of the whole router share them.
 
 use emberflow::Lifecycle;
+use emberflow_router::clients::ClientInput;
 use emberflow_router::discovery::EndpointRecord;
 use emberflow_router::engine_pool::PoolCommand;
 use emberflow_router::resp;
@@ -70,6 +71,8 @@
     }
 }
 
+impl ClientInput for ScriptedInput {}
+
 impl Read for ScriptedInput {
     fn read(&mut self, into: &mut [u8]) -> std::io::Result<usize> {
         match (self.bytes.read(into)?, self.then) {
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -17,6 +17,21 @@
 /// something or was answered within it may have a request in transit.
 pub const CROSSING: Duration = Duration::from_millis(50);
 
+/// What a client's input is read from.
+pub trait ClientInput: Read {
+    /// How long ago the last bytes arrived that were read, as far as that is known; else zero. A process that was not
+    /// scheduled while it polled sees them late.
+    fn time_since_last_arrival(&self) -> Duration {
+        Duration::ZERO
+    }
+}
+
+impl<T: ClientInput + ?Sized> ClientInput for &mut T {
+    fn time_since_last_arrival(&self) -> Duration {
+        (**self).time_since_last_arrival()
+    }
+}
+
 /// What a scan ahead of a client's next line has found.
 #[derive(Default)]
 pub struct ScanResult {
@@ -117,7 +132,7 @@
         slot: Slot,
         now: Duration,
         received_since: Duration,
-        socket: &mut impl Read,
+        socket: &mut impl ClientInput,
         has_failed: impl Fn() -> bool,
     ) -> ReadOutcome {
         let Some(client) = self.table.get_mut(slot) else { return ReadOutcome::Pending };
@@ -136,7 +151,7 @@
         slot: Slot,
         now: Duration,
         received_since: Duration,
-        socket: &mut impl Read,
+        socket: &mut impl ClientInput,
     ) -> ScanResult {
         match self.table.get_mut(slot) {
             Some(client) => client.scan_ahead(self.max_line_bytes, now, received_since, socket),
--- a/crates/router/src/clients/client.rs
+++ b/crates/router/src/clients/client.rs
@@ -1,12 +1,11 @@
 //! One client's connection: its input is split into lines and scanned for withdrawals ahead of their turn.
 
-use super::{CROSSING, ScanResult};
+use super::{CROSSING, ClientInput, ScanResult};
 use crate::jsonrpc::{self, Withdrawal};
 use crate::ring::{Filled, Ring};
 use emberflow::RequestId;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{Hash, Hasher};
-use std::io::Read;
 use std::time::Duration;
 
 /// Within this time the first line must be complete, and any other that has begun. Clients are owed a close, an error or
@@ -125,7 +124,7 @@
         max_line_bytes: usize,
         now: Duration,
         received_since: Duration,
-        socket: &mut impl Read,
+        socket: &mut impl ClientInput,
         has_failed: impl Fn() -> bool,
     ) -> ReadOutcome {
         loop {
@@ -150,7 +149,7 @@
             match self.input.fill(socket, max_line_bytes) {
                 Err(_) => return ReadOutcome::Closed,
                 Ok(_) if self.input.len() > length_before => {
-                    self.note_received(length_before, now, received_since);
+                    self.note_received(length_before, now, received_since, socket);
                 }
                 Ok(Filled::Closed) => {
                     // It may have ended only its own side: open requests are still answered.
@@ -162,7 +161,7 @@
         }
     }
 
-    fn discard_input(&mut self, max_bytes: usize, socket: &mut impl Read) -> ReadOutcome {
+    fn discard_input(&mut self, max_bytes: usize, socket: &mut impl ClientInput) -> ReadOutcome {
         self.consume(self.input.len());
         match self.input.fill(socket, max_bytes) {
             Ok(Filled::Enough) => ReadOutcome::Discarded,
@@ -190,8 +189,15 @@
     }
 
     /// Notes that input was received behind `length_before` bytes. A line that begins is activity.
-    fn note_received(&mut self, length_before: usize, now: Duration, received_since: Duration) {
-        self.last_received = received_since;
+    fn note_received(
+        &mut self,
+        length_before: usize,
+        now: Duration,
+        received_since: Duration,
+        socket: &impl ClientInput,
+    ) {
+        let last_arrival = now.saturating_sub(socket.time_since_last_arrival());
+        self.last_received = received_since.min(last_arrival);
         if length_before == 0 && self.has_sent_line {
             self.last_active = now;
         }
@@ -212,7 +218,7 @@
         max_line_bytes: usize,
         now: Duration,
         received_since: Duration,
-        socket: &mut impl Read,
+        socket: &mut impl ClientInput,
     ) -> ScanResult {
         let mut scan = ScanResult::default();
         let has_nothing_to_lose = self.open.is_empty() && self.input.is_empty();
@@ -226,7 +232,7 @@
             Err(_) => scan.closed = true,
         }
         if self.input.len() > length_before {
-            self.note_received(length_before, now, received_since);
+            self.note_received(length_before, now, received_since, socket);
         }
         scan.withdrawn = self.new_withdrawals();
         scan
--- a/crates/router/src/event_loop/client_sockets.rs
+++ b/crates/router/src/event_loop/client_sockets.rs
@@ -1,8 +1,10 @@
 //! Reading from clients and writing to them.
 
 use super::RouterLoop;
+use crate::clients::ClientInput;
 use crate::gate::CloseReason;
 use crate::slots::Slot;
+use crate::sockets::time_since_last_arrival;
 use std::io::{self, Read};
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -17,6 +19,12 @@
     }
 }
 
+impl ClientInput for SocketReader {
+    fn time_since_last_arrival(&self) -> Duration {
+        time_since_last_arrival(&self.0)
+    }
+}
+
 impl RouterLoop {
     /// Notes that something has changed on a client's socket.
     pub(super) fn client_became_ready(&mut self, slot: Slot) {
@@ -55,7 +63,12 @@
             return self.apply_changes();
         }
         let has_failed = || !matches!(socket.take_error(), Ok(None));
-        if self.server.read_client_line(slot, received_since, &mut &*socket, has_failed) {
+        if self.server.read_client_line(
+            slot,
+            received_since,
+            &mut SocketReader(Rc::clone(&socket)),
+            has_failed,
+        ) {
             self.readable_clients.add(slot, self.server.dispatcher.context.now());
         }
         self.apply_changes();
--- a/crates/router/src/server/clients.rs
+++ b/crates/router/src/server/clients.rs
@@ -1,14 +1,13 @@
 //! Connections of clients: accepting and closing them, and reading their lines.
 
 use super::{ClosedClient, Server};
-use crate::clients::{IdleCheck, ReadOutcome};
+use crate::clients::{ClientInput, IdleCheck, ReadOutcome};
 use crate::dispatch::{Dispatcher, RequestOutcome};
 use crate::gate::{self, CloseReason};
 use crate::jsonrpc::{self, RequestError, RequestErrorKind};
 use crate::slots::Slot;
 use crate::timers::Timer;
 use emberflow::{Actions, RequestId};
-use std::io::Read;
 use std::time::Duration;
 
 impl Server {
@@ -33,7 +32,7 @@
         &mut self,
         slot: Slot,
         received_since: Duration,
-        socket: &mut impl Read,
+        socket: &mut impl ClientInput,
         has_failed: impl Fn() -> bool,
     ) -> bool {
         let now = self.dispatcher.context.now();
@@ -80,7 +79,7 @@
     /// Scans what clients have sent, received at `received_since` at the earliest, for withdrawals and for the end
     /// of their input. Done for all of them before anything else is handled, so that nothing is dispatched for a
     /// client that has stopped waiting.
-    pub fn scan_clients<R: Read>(
+    pub fn scan_clients<R: ClientInput>(
         &mut self,
         received_since: Duration,
         clients: impl IntoIterator<Item = (Slot, R)>,
--- a/crates/router/src/sockets.rs
+++ b/crates/router/src/sockets.rs
@@ -5,7 +5,9 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// A connection's socket and its registration with the loop, which ends when it is dropped.
 pub struct RegisteredSocket<T: 'static> {
@@ -21,6 +23,21 @@
     }
 }
 
+/// How long ago a connection's last bytes arrived, as the kernel tells; zero where it does not.
+pub fn time_since_last_arrival(socket: &TcpStream) -> Duration {
+    let mut length = size_of::<libc::tcp_info>() as libc::socklen_t;
+    let mut info = std::mem::MaybeUninit::<libc::tcp_info>::zeroed();
+    // SAFETY: the buffer is as long as `length` says, and any bytes make a valid `tcp_info`, zeros included.
+    let (result, info) = unsafe {
+        let buffer = info.as_mut_ptr().cast();
+        let result =
+            libc::getsockopt(socket.as_raw_fd(), libc::IPPROTO_TCP, libc::TCP_INFO, buffer, &raw mut length);
+        (result, info.assume_init())
+    };
+    let is_known = result == 0 && info.tcpi_last_data_recv > 0;
+    if is_known { Duration::from_millis(info.tcpi_last_data_recv.into()) } else { Duration::ZERO }
+}
+
 /// Listens at an address. The backlog is as long as the connections that the process may have open: clients whose
 /// connections do not fit into it retry after a second or more.
 pub fn listen(address: SocketAddr, backlog: usize) -> io::Result<TcpListener> {
--- a/crates/router/tests/digest.rs
+++ b/crates/router/tests/digest.rs
@@ -3,6 +3,7 @@
 //! closed, and when the next timer is due. Log lines are not in it.
 
 use emberflow_router::bootstrap::Bootstrap;
+use emberflow_router::clients::ClientInput;
 use emberflow_router::context::Context;
 use emberflow_router::dispatch::Dispatcher;
 use emberflow_router::engine_pool::{PoolCommand, Reachability};
@@ -132,6 +133,8 @@
 
 struct ReceivedBytes<'a>(&'a [u8], StreamEnd);
 
+impl ClientInput for ReceivedBytes<'_> {}
+
 impl Read for ReceivedBytes<'_> {
     fn read(&mut self, into: &mut [u8]) -> Result<usize> {
         match (self.0.read(into)?, self.1) {
--- a/crates/router/tests/server.rs
+++ b/crates/router/tests/server.rs
@@ -1,6 +1,7 @@
 //! The router's server without sockets or clock: deadlines of requests and the limits of idle clients.
 
 use emberflow_router::bootstrap::Bootstrap;
+use emberflow_router::clients::{ClientInput, Clients, ReadOutcome};
 use emberflow_router::context::Context;
 use emberflow_router::gate::CloseReason;
 use emberflow_router::server::Server;
@@ -29,6 +30,8 @@
 /// A socket that holds some bytes and would block after them.
 struct ReceivedBytes<'a>(&'a [u8]);
 
+impl ClientInput for ReceivedBytes<'_> {}
+
 impl Read for ReceivedBytes<'_> {
     fn read(&mut self, into: &mut [u8]) -> Result<usize> {
         match self.0.read(into)? {
@@ -132,3 +135,37 @@
     "#]]
     .assert_eq(&lines);
 }
+
+/// A line whose last byte arrived a while ago, as the kernel of a busy machine tells.
+struct AgedLine<'a>(ReceivedBytes<'a>, Duration);
+
+impl ClientInput for AgedLine<'_> {
+    fn time_since_last_arrival(&self) -> Duration {
+        self.1
+    }
+}
+
+impl Read for AgedLine<'_> {
+    fn read(&mut self, into: &mut [u8]) -> Result<usize> {
+        self.0.read(into)
+    }
+}
+
+/// Guards against deadlines that count from when a process that was not scheduled woke up.
+#[test]
+fn a_line_counts_from_when_its_last_byte_arrived() {
+    let ms = Duration::from_millis;
+    let received_at = |age, seen_since| {
+        let mut clients = Clients::with_limits(1000, 1000);
+        let slot = clients.table.next();
+        clients.admit(ms(0));
+        let mut input = AgedLine(ReceivedBytes(b"{}\n"), age);
+        match clients.read_line(slot, ms(1000), seen_since, &mut input, || false) {
+            ReadOutcome::Line { received_at, .. } => received_at,
+            _ => panic!("a complete line was received"),
+        }
+    };
+    assert_eq!(received_at(ms(400), ms(990)), ms(600), "the process was not scheduled while it polled");
+    assert_eq!(received_at(ms(400), ms(500)), ms(500), "it may have come earlier");
+    assert_eq!(received_at(ms(0), ms(990)), ms(990), "the kernel tells nothing");
+}
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -80,6 +80,8 @@
 /// All engines of a soak.
 pub struct Engines {
     pub engines: Vec<Engine>,
+    /// Their addresses are 127.N.x.y with this N.
+    pub host_block: u8,
     connections: Vec<Option<EngineConnection>>,
     cores: f64,
     /// What is to be set off, and when.
@@ -97,8 +99,14 @@
         first_token: usize,
         registry: &Registry,
     ) -> io::Result<Self> {
-        let mut engines =
-            Self { engines: Vec::new(), connections: Vec::new(), cores, timers: Vec::new(), first_token };
+        let mut engines = Self {
+            host_block,
+            engines: Vec::new(),
+            connections: Vec::new(),
+            cores,
+            timers: Vec::new(),
+            first_token,
+        };
         for index in 0..count {
             let host = Ipv4Addr::new(127, host_block, (1 + index / 250) as u8, (1 + index % 250) as u8);
             engines.engines.push(Engine {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -15,7 +15,7 @@
 use rand_distr::{Distribution, Exp};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -23,6 +23,10 @@
 const DISCOVERY_TOKENS: usize = 0;
 const CLIENT_TOKENS: usize = 1000;
 const ENGINE_TOKENS: usize = 100_000;
+/// Hosts 1 to 60 of the block are routers.
+const ROUTER_PORT: u16 = 8080;
+const DISCOVERY_HOST: u8 = 250;
+const DISCOVERY_PORT: u16 = 9092;
 /// Of each engine.
 pub const CORES: f64 = 2.0;
 /// A router must be ready within this time.
@@ -114,12 +118,20 @@
             up_since_ms: 0,
         };
         let endpoints: Vec<Endpoint> = engines.engines.iter().enumerate().map(endpoint).collect();
-        let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let discovery = Discovery::start(loopback, endpoints, DISCOVERY_TOKENS, registry)?;
+        // Beside the engines, in the block of addresses that no other run uses.
+        let own_address =
+            |host: u8, port| SocketAddr::from((Ipv4Addr::new(127, engines.host_block, 0, host), port));
+        let discovery = Discovery::start(
+            own_address(DISCOVERY_HOST, DISCOVERY_PORT),
+            endpoints,
+            DISCOVERY_TOKENS,
+            registry,
+        )?;
         let mut routers = Vec::new();
         for index in 0..usize::from(options.routers) {
             let faults = process_faults(&options, &mut rng);
-            routers.push(Router::new(index, free_address()?, directory, faults));
+            let address = own_address(1 + index as u8, ROUTER_PORT);
+            routers.push(Router::new(index, address, directory, faults));
         }
         let end = Duration::from_secs_f64(options.seconds);
         let faults = faults::draw(&mut rng, &options.fault_kinds(), options.seconds);
@@ -601,7 +613,3 @@
     }
     ProcessFaults { slowdown, clock_step_ms, clock_step_at_ms, fail_every }
 }
-
-fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
