--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -40,6 +40,8 @@
 struct Run {
     connection: usize,
     attempt: usize,
+    /// What it is billed.
+    work: Duration,
     ends_at: Duration,
 }
 
@@ -241,7 +243,7 @@
         let ends_at = now + work.mul_f64(slow * crowding.max(1.0));
         engine
             .running
-            .insert(id.to_owned(), Run { connection, attempt: request.attempts.len() - 1, ends_at });
+            .insert(id.to_owned(), Run { connection, attempt: request.attempts.len() - 1, work, ends_at });
         let incarnation = engine.incarnation;
         let timer = |id: &str| (engine_index, incarnation, id.to_owned());
         let (engine, incarnation, id) = timer(id);
@@ -281,9 +283,9 @@
         }
         let Some(run) = known.running.remove(id) else { return };
         record_end(id, run.attempt, now, records);
+        let fields = format!("pages=1,cost={:.1},need=10.0", run.work.as_secs_f64() * 1e3);
         let body = format!("{id}\t{engine}\t{}\n", run.attempt);
-        let reply =
-            resp::encode_array(&[id.as_bytes(), b"HIT", b"pages=1,cost=20.0,need=10.0", body.as_bytes()]);
+        let reply = resp::encode_array(&[id.as_bytes(), b"HIT", fields.as_bytes(), body.as_bytes()]);
         let fault = known.fault;
         let Some(Some(connection)) = self.connections.get_mut(run.connection) else { return };
         match fault {
