Soak: connections to engines that do not come up for a while

Need: late connects are among the operators' faults. Change: the fault late-connect fills an engine's accept queue; the kernel tries again after a second.

--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -7,11 +7,14 @@
 use emberflow_router::resp;
 use mio::net::TcpListener;
 use mio::{Interest, Registry, Token};
+use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+/// Connections that fill the queue of a listener that queues none.
+const QUEUE_FILLERS: usize = 2;
 /// The port of all engines; their addresses differ.
 const PORT: u16 = 9090;
 /// Requests for each core from which an engine refuses more.
@@ -49,6 +52,8 @@
 pub struct Engine {
     pub address: SocketAddr,
     listener: Option<TcpListener>,
+    /// While it accepts nothing: connections that fill its queue, so that others wait for the kernel's next try.
+    fillers: Vec<std::net::TcpStream>,
     pub fault: EngineFault,
     /// Rises with each start of its process.
     incarnation: u32,
@@ -114,6 +119,7 @@
             engines.engines.push(Engine {
                 address: SocketAddr::from((host, PORT)),
                 listener: None,
+                fillers: Vec::new(),
                 fault: EngineFault::None,
                 incarnation: 0,
                 running: BTreeMap::new(),
@@ -131,6 +137,41 @@
         Ok(())
     }
 
+    /// Stops accepting: connections that are dialled from now on come up only after `resume_accepting`.
+    pub fn stop_accepting(&mut self, engine: usize) -> io::Result<()> {
+        let known = &mut self.engines[engine];
+        if known.listener.take().is_none() {
+            return Ok(());
+        }
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&known.address.into())?;
+        socket.listen(0)?;
+        for _ in 0..QUEUE_FILLERS {
+            let filler = Socket::new(Domain::IPV4, Type::STREAM.nonblocking(), Some(Protocol::TCP))?;
+            // It is on its way, or waits like the router's.
+            let _ = filler.connect(&known.address.into());
+            known.fillers.push(filler.into());
+        }
+        socket.set_nonblocking(true)?;
+        known.listener = Some(TcpListener::from_std(socket.into()));
+        Ok(())
+    }
+
+    /// Accepts connections again, those that waited included.
+    pub fn resume_accepting(&mut self, engine: usize, registry: &Registry) -> io::Result<()> {
+        let token = Token(self.first_token + engine);
+        let known = &mut self.engines[engine];
+        if known.fillers.is_empty() {
+            return Ok(());
+        }
+        known.fillers.clear();
+        if let Some(listener) = &mut known.listener {
+            registry.register(listener, token, Interest::READABLE)?;
+        }
+        Ok(())
+    }
+
     /// Tokens from the first up to this belong to engines.
     pub fn owns(&self, token: Token) -> bool {
         token.0 >= self.first_token
@@ -354,6 +395,7 @@
         self.reset_connections(engine, now, records);
         let known = &mut self.engines[engine];
         known.listener = None;
+        known.fillers.clear();
         known.running.clear();
         known.incarnation += 1;
         known.fault = EngineFault::None;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -25,6 +25,8 @@
     Pieces,
     /// Connections of some engines are reset under requests.
     Reset,
+    /// Connections to some engines do not come up for a while.
+    LateConnect,
     /// Some engines close connections that carry nothing, under what is on its way to them.
     IdleClose,
     /// Some engines drain, end, and are replaced by cold ones.
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -63,6 +63,7 @@
     Engine(EngineTimer),
     Fault(Fault),
     EngineFaultEnds { engines: Vec<usize> },
+    AcceptingResumes { engines: Vec<usize> },
     EnginesEnd { engines: Vec<usize> },
     EnginesReturn { engines: Vec<usize> },
     DiscoveryReturns,
@@ -277,6 +278,11 @@
             Timer::Engine(timer) => self.engines.timer_expired(timer, now, &mut self.records),
             Timer::Fault(fault) => self.strike(fault, now)?,
             Timer::EngineFaultEnds { engines } => self.set_engine_faults(&engines, EngineFault::None, now),
+            Timer::AcceptingResumes { engines } => {
+                for engine in engines {
+                    self.engines.resume_accepting(engine, self.poll.registry())?;
+                }
+            }
             Timer::EnginesEnd { engines } => self.end_engines(engines, now),
             Timer::EnginesReturn { engines } => self.return_engines(&engines, now)?,
             Timer::DiscoveryReturns => {
@@ -363,6 +369,13 @@
                     self.engines.reset_connections(engine, now, &mut self.records);
                 }
             }
+            FaultKind::LateConnect => {
+                let engines = self.draw_engines(fault.part);
+                for engine in &engines {
+                    self.engines.stop_accepting(*engine)?;
+                }
+                self.set(now + fault.span, Timer::AcceptingResumes { engines });
+            }
             FaultKind::IdleClose => {
                 for engine in self.draw_engines(fault.part) {
                     self.engines.close_idle_connections(engine);
