--- a/benches/large_fleet.rs
+++ b/benches/large_fleet.rs
@@ -1,7 +1,11 @@
 //! The time of one input by the number of engines: a request that succeeds, and a change of one row of the list.
 
+#[path = "../tests/common/large_fleet.rs"]
+mod fixture;
+
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use emberflow::*;
+use fixture::*;
 use std::time::Duration;
 
 const SIZES: [usize; 4] = [8, 80, 800, 3200];
@@ -24,74 +28,13 @@
     fn forget(&mut self, _: EngineId) {}
 }
 
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-fn endpoint(engine: EngineId, lifecycle: Lifecycle) -> Endpoint {
-    Endpoint { engine, location: engine % 3, kind: 0, cell: 0, lifecycle, launched: None }
-}
-
-fn scheduler(engines: usize) -> Scheduler {
-    let fleet = Fleet {
-        seed: 1,
-        router_count: 300,
-        home_location: 0,
-        kinds: vec![EngineKind { cores: 4.0, memory_mb: 4096.0 }],
-        max_grant_share: 0.4,
-        honors_priorities: true,
-        shrinks_grants: false,
-        progress_interval: Some(ms(500)),
-        reports_only_on_probe: false,
-        polls_endpoint_list: false,
-        tick: ms(5),
-    };
-    let class = RequestClass {
-        latency_objective: ms(500),
-        objective_stretch: 0.0,
-        deadline: ms(2000),
-        priority_weight: 1.0,
-        late_share: 0.0,
-        effect: Effect::Idempotent,
-        keeps_order: false,
-        kinds: None,
-        locations: None,
-        threads: 1.0,
-        holds_group: false,
-        waits_for_loads: false,
-    };
-    let limits = AttemptLimits {
-        max_attempts: 3,
-        may_cancel: true,
-        may_probe: false,
-        start_capacity: 0.3,
-        warm_up: ms(6000),
-        overload_factor: 2.5,
-        overload_window: ms(1000),
-        key_cooldown: None,
-        retry_budget: None,
-        max_retry_after: None,
-    };
-    let mut scheduler = Scheduler::new(fleet, vec![class], limits);
+fn listed(engines: usize) -> Scheduler {
+    let mut scheduler = scheduler(1, Effect::Idempotent);
     let rows = (0..engines).map(|engine| endpoint(engine, Lifecycle::Ready)).collect();
     scheduler.endpoints_changed(Duration::ZERO, EndpointUpdate::FullList, rows, &mut LastSend::default());
     scheduler
 }
 
-fn arrival(request: RequestId) -> Arrival {
-    Arrival {
-        request,
-        class: 0,
-        key: None,
-        cost: Some(ms(20)),
-        memory_mb: Some(16.0),
-        deadline: ms(2000),
-        waited: Duration::ZERO,
-        is_retry: None,
-        group: None,
-    }
-}
-
 /// Serves requests with twenty others in flight.
 struct Served {
     scheduler: Scheduler,
@@ -101,7 +44,7 @@
 
 impl Served {
     fn new(engines: usize) -> Self {
-        let mut served = Self { scheduler: scheduler(engines), in_flight: Default::default(), next: 0 };
+        let mut served = Self { scheduler: listed(engines), in_flight: Default::default(), next: 0 };
         (0..20).for_each(|_| served.accept());
         served
     }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,13 +1,16 @@
 //! One run: engines, discovery, clients and routers, driven by one loop over sockets and timers.
 
+mod processes;
+mod strikes;
+
 use crate::clients::Clients;
-use crate::config::{self, RouterAddresses, ZONES, longest_deadline, profile};
+use crate::config::{self, longest_deadline, profile};
 use crate::discovery::{Discovery, DiscoveryFault, Endpoint, EngineState};
 use crate::engines::{EngineFault, EngineTimer, Engines};
-use crate::faults::{self, Fault, FaultKind};
+use crate::faults::{self, Fault};
 use crate::invariants::Terms;
 use crate::options::RunOptions;
-use crate::records::{Class, ColdStart, Drain, Outage, OutageKind, Records};
+use crate::records::{Class, Records};
 use crate::routers::{ProcessFaults, Router, RouterPhase};
 use mio::{Events, Poll, Registry, Token};
 use rand::rngs::StdRng;
@@ -17,7 +20,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 /// Ranges of tokens.
 const DISCOVERY_TOKENS: usize = 0;
@@ -345,254 +348,6 @@
         }
         Class::Lookup
     }
-
-    /// Engines that are listed as ready, a part of them drawn at random.
-    fn draw_engines(&mut self, part: f64) -> Vec<usize> {
-        let ready = |endpoint: &&Endpoint| endpoint.state == EngineState::Ready;
-        let ready: Vec<usize> = self.discovery.endpoints.iter().filter(ready).map(|row| row.engine).collect();
-        let mut drawn: Vec<usize> = ready.into_iter().filter(|_| self.rng.random_bool(part)).collect();
-        drawn.truncate(self.discovery.endpoints.len() / 3);
-        drawn
-    }
-
-    fn strike(&mut self, fault: Fault, now: Duration) -> io::Result<()> {
-        let router = fault.target % self.routers.len();
-        match fault.kind {
-            FaultKind::Silent => self.engines_fail(fault, EngineFault::Silent, now),
-            FaultKind::Mute => self.engines_fail(fault, EngineFault::Mute, now),
-            FaultKind::Slow => self.engines_fail(fault, EngineFault::Slow(8.0), now),
-            FaultKind::Failing => self.engines_fail(fault, EngineFault::Failing, now),
-            FaultKind::Truncating => self.engines_fail(fault, EngineFault::Truncating, now),
-            FaultKind::Pieces => self.engines_fail(fault, EngineFault::InPieces, now),
-            FaultKind::Reset => {
-                for engine in self.draw_engines(fault.part) {
-                    self.engines.reset_connections(engine, now, &mut self.records);
-                }
-            }
-            FaultKind::LateConnect => {
-                let engines = self.draw_engines(fault.part);
-                for engine in &engines {
-                    self.engines.stop_accepting(*engine)?;
-                }
-                self.set(now + fault.span, Timer::AcceptingResumes { engines });
-            }
-            FaultKind::IdleClose => {
-                for engine in self.draw_engines(fault.part) {
-                    self.engines.close_idle_connections(engine);
-                }
-            }
-            FaultKind::Drain => self.drain_engines(fault, now),
-            FaultKind::Crash => {
-                let engines = self.draw_engines(fault.part);
-                self.crash_engines(engines, fault.span, now);
-            }
-            FaultKind::Zone => {
-                let zone = fault.target % ZONES.len();
-                let rows = self.discovery.endpoints.iter();
-                let rows = rows.filter(|row| row.zone() == zone && row.state == EngineState::Ready);
-                let engines = rows.map(|row| row.engine).collect();
-                self.crash_engines(engines, fault.span, now);
-            }
-            FaultKind::DiscoveryDown => self.discovery_fails(DiscoveryFault::Down, fault, now)?,
-            FaultKind::DiscoverySilent => self.discovery_fails(DiscoveryFault::Silent, fault, now)?,
-            FaultKind::List => self.discovery.repeat_complete_list(),
-            FaultKind::Term => self.end_router(router, now),
-            FaultKind::Kill => self.kill_router(router, now),
-            FaultKind::Stop => self.stop_router(router, fault, now),
-            FaultKind::Reload => self.routers[router].signal(libc::SIGHUP),
-            FaultKind::Leave => self.clients.leave_in_a_burst(router, now, &mut self.records),
-            FaultKind::Burst => self.burst_until[router] = now + fault.span,
-            FaultKind::Crowd => {
-                let address = self.routers[router].address;
-                for _ in 0..CROWD {
-                    self.clients.idle_connection(router, address, now, self.poll.registry());
-                }
-            }
-        }
-        Ok(())
-    }
-
-    fn engines_fail(&mut self, fault: Fault, how: EngineFault, now: Duration) {
-        let engines = self.draw_engines(fault.part);
-        self.set_engine_faults(&engines, how, now);
-        self.set(now + fault.span, Timer::EngineFaultEnds { engines });
-    }
-
-    fn set_engine_faults(&mut self, engines: &[usize], how: EngineFault, now: Duration) {
-        for engine in engines {
-            self.engines.set_fault(*engine, how, now, &mut self.records);
-        }
-    }
-
-    fn list(&mut self, engines: &[usize], state: EngineState, up_since_ms: u64, now: Duration) {
-        let row = |engine: &usize| Endpoint { state, up_since_ms, ..self.discovery.endpoints[*engine] };
-        let changed = engines.iter().map(row).collect();
-        self.discovery.change(changed);
-        for engine in engines {
-            match state {
-                EngineState::Ready => {
-                    let drains = self.records.drains.iter_mut();
-                    let mut drains = drains.filter(|drain| drain.engine == *engine && drain.until.is_none());
-                    if let Some(drain) = drains.next() {
-                        drain.until = Some(now);
-                    }
-                }
-                EngineState::Draining => {
-                    let delivered_at = self.delivery_of(now);
-                    self.records.drains.push(Drain {
-                        engine: *engine,
-                        listed_at: now,
-                        delivered_at,
-                        until: None,
-                    });
-                }
-                EngineState::Removed => {}
-            }
-        }
-    }
-
-    /// When what is listed now counts as delivered: at once while routers are connected, else so much later as the
-    /// protocol says.
-    fn delivery_of(&self, now: Duration) -> Duration {
-        let is_connected = self.discovery_up_since.is_some_and(|since| now >= since + RECONNECTED_AFTER);
-        if is_connected { now } else { now + LIST_DELIVERY }
-    }
-
-    fn drain_engines(&mut self, fault: Fault, now: Duration) {
-        let engines = self.draw_engines(fault.part);
-        let launched: Vec<u64> =
-            engines.iter().map(|engine| self.discovery.endpoints[*engine].up_since_ms).collect();
-        for (engine, up_since_ms) in engines.iter().zip(launched) {
-            self.list(&[*engine], EngineState::Draining, up_since_ms, now);
-        }
-        self.set(now + DRAINED_FOR, Timer::EnginesEnd { engines });
-    }
-
-    fn end_engines(&mut self, engines: Vec<usize>, now: Duration) {
-        for engine in &engines {
-            self.engines.stop(*engine, now, &mut self.records);
-        }
-        self.set(now + DOWN_FOR, Timer::EnginesReturn { engines });
-    }
-
-    fn crash_engines(&mut self, engines: Vec<usize>, span: Duration, now: Duration) {
-        for engine in &engines {
-            self.engines.stop(*engine, now, &mut self.records);
-        }
-        self.set(now + span, Timer::EnginesReturn { engines });
-    }
-
-    /// Engines start again, cold, and are listed so.
-    fn return_engines(&mut self, engines: &[usize], now: Duration) -> io::Result<()> {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        for engine in engines {
-            self.engines.restart(*engine, self.poll.registry())?;
-            self.records.cold_starts.push(ColdStart { engine: *engine, at: now, listed_at: now });
-        }
-        self.list(engines, EngineState::Ready, unix.as_millis() as u64, now);
-        Ok(())
-    }
-
-    fn discovery_fails(&mut self, how: DiscoveryFault, fault: Fault, now: Duration) -> io::Result<()> {
-        self.discovery.set_fault(how, self.poll.registry())?;
-        self.discovery_up_since = None;
-        self.set(now + fault.span, Timer::DiscoveryReturns);
-        Ok(())
-    }
-
-    fn start_router(&mut self, router: usize) -> io::Result<()> {
-        let now = self.now();
-        let addresses =
-            RouterAddresses { listen: self.routers[router].address, discovery: self.discovery.address };
-        let fleet = self.options.fleet.unwrap_or(self.routers.len());
-        let (name, seed) = (format!("n{router}"), self.rng.random());
-        let config = config::router_config(&name, seed, &addresses, &self.discovery.known(), fleet, CORES);
-        let Programs { router: program, shim } = &self.programs;
-        self.routers[router].start(program, shim, &config.to_string(), now)
-    }
-
-    fn end_router(&mut self, router: usize, now: Duration) {
-        if self.routers[router].phase != RouterPhase::Serving {
-            return;
-        }
-        self.routers[router].signal(libc::SIGTERM);
-        self.routers[router].phase = RouterPhase::Ending;
-        self.set(now + longest_deadline() + KILL_AFTER_DEADLINE, Timer::RouterKilled { router });
-    }
-
-    fn router_killed(&mut self, router: usize, now: Duration) {
-        if self.routers[router].phase != RouterPhase::Ending {
-            return;
-        }
-        let from = now - longest_deadline() - KILL_AFTER_DEADLINE;
-        self.routers[router].kill();
-        self.records.outages.push(Outage { router, from, until: now, kind: OutageKind::Ended });
-        self.set(now + DOWN_FOR, Timer::RouterStarts { router });
-    }
-
-    fn kill_router(&mut self, router: usize, now: Duration) {
-        if self.routers[router].phase != RouterPhase::Serving {
-            return;
-        }
-        self.routers[router].kill();
-        self.records.outages.push(Outage { router, from: now, until: now, kind: OutageKind::Killed });
-        self.set(now + DOWN_FOR, Timer::RouterStarts { router });
-    }
-
-    fn stop_router(&mut self, router: usize, fault: Fault, now: Duration) {
-        if self.routers[router].phase != RouterPhase::Serving {
-            return;
-        }
-        self.routers[router].signal(libc::SIGSTOP);
-        self.routers[router].phase = RouterPhase::Stopped;
-        self.set(now + fault.span / 4, Timer::RouterContinues { router, stopped_at: now });
-    }
-
-    fn router_continues(&mut self, router: usize, stopped_at: Duration, now: Duration) {
-        self.routers[router].signal(libc::SIGCONT);
-        self.routers[router].phase = RouterPhase::Serving;
-        self.records.outages.push(Outage { router, from: stopped_at, until: now, kind: OutageKind::Stopped });
-    }
-
-    fn ask_status(&mut self, now: Duration) {
-        for router in 0..self.routers.len() {
-            let Router { phase, address, started_at, .. } = self.routers[router];
-            if phase != RouterPhase::Starting {
-                continue;
-            }
-            self.clients.ask_status(router, address, now, self.poll.registry());
-            if now > started_at + READY_WITHIN {
-                let outage = Outage { router, from: started_at, until: now, kind: OutageKind::NotReady };
-                let is_known = self.records.outages.iter().any(|other| other.from == started_at);
-                if !is_known {
-                    self.records.outages.push(outage);
-                }
-            }
-        }
-        self.set(now + STATUS_INTERVAL, Timer::AskStatus);
-    }
-
-    /// Notes what the routers use, and whether one has ended by itself.
-    fn sample(&mut self, now: Duration) {
-        for (index, router) in self.routers.iter_mut().enumerate() {
-            let most = &mut self.records.usage[index];
-            if let Some(usage) = router.usage() {
-                most.memory_kb = most.memory_kb.max(usage.memory_kb);
-                most.descriptors = most.descriptors.max(usage.descriptors);
-                most.cpu = most.cpu.max(usage.cpu);
-            }
-            if router.phase != RouterPhase::Ending && router.has_exited().is_some() {
-                router.phase = RouterPhase::Dead;
-                self.records.outages.push(Outage {
-                    router: index,
-                    from: now,
-                    until: now,
-                    kind: OutageKind::Crashed,
-                });
-            }
-        }
-        self.set(now + SAMPLE_INTERVAL, Timer::Sample);
-    }
 }
 
 /// Starts the engines in the first block of addresses that no other run uses.
--- a/src/policy/subsetting.rs
+++ b/src/policy/subsetting.rs
@@ -1,5 +1,5 @@
-//! Subsetting: before a large fleet a router uses a part of the engines, so that the work for an input and the
-//! connections held do not grow with the fleet.
+//! Subsetting: before a large fleet a router uses a part of the engines, so that the work for an input and
+//! the connections held do not grow with the fleet.
 
 use super::*;
 
@@ -11,8 +11,8 @@
 const SUBSET_PARTS: usize = 4;
 /// The draw of chance that ranks engines: with the router's seed, routers' subsets differ.
 const RANK_DRAW: u64 = u64::MAX;
-/// How far the number of routers that use an engine may be over its mean where a starting engine must not get more
-/// than it takes.
+/// How far the number of routers that use an engine may be over its mean where a starting engine must not
+/// get more than it takes.
 const SLOW_START_SPREAD: f64 = 2.0;
 
 impl SchedulerState {
@@ -34,8 +34,8 @@
         }
     }
 
-    /// The engines that an input may have to do with: those in use, and those with an attempt in flight; without
-    /// `may_send` only these.
+    /// The engines that an input may have to do with: those in use, and those with an attempt in flight;
+    /// without `may_send` only these.
     pub fn engines_in_view(&self, may_send: bool) -> Vec<EngineId> {
         let busy = self.engine_index.busy();
         if !may_send {
@@ -64,8 +64,8 @@
         Some(self.engines[&first.engine].cell)
     }
 
-    /// This router's part of an engine that it uses: its part of the fleet, shared with those routers alone that
-    /// use the same engine.
+    /// This router's part of an engine that it uses: its part of the fleet, shared with those routers alone
+    /// that use the same engine.
     pub fn engine_share(&self, share: f64) -> f64 {
         (share * self.subset_factor()).min(1.0)
     }
--- /dev/null
+++ b/tests/common/large_fleet.rs
@@ -0,0 +1,73 @@
+//! A scheduler before a large fleet, for the test that counts the work of an input and the bench that times it.
+
+use emberflow::*;
+use std::time::Duration;
+
+pub const LOCATIONS: usize = 3;
+const ROUTERS: usize = 300;
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn scheduler(seed: u64, effect: Effect) -> Scheduler {
+    let fleet = Fleet {
+        seed,
+        router_count: ROUTERS,
+        home_location: 0,
+        kinds: vec![EngineKind { cores: 4.0, memory_mb: 4096.0 }],
+        max_grant_share: 0.4,
+        honors_priorities: true,
+        shrinks_grants: false,
+        progress_interval: Some(ms(500)),
+        reports_only_on_probe: false,
+        polls_endpoint_list: false,
+        tick: ms(5),
+    };
+    let class = RequestClass {
+        latency_objective: ms(500),
+        objective_stretch: 0.0,
+        deadline: ms(2000),
+        priority_weight: 1.0,
+        late_share: 0.0,
+        effect,
+        keeps_order: false,
+        kinds: None,
+        locations: None,
+        threads: 1.0,
+        holds_group: false,
+        waits_for_loads: false,
+    };
+    let limits = AttemptLimits {
+        max_attempts: 3,
+        may_cancel: true,
+        may_probe: false,
+        start_capacity: 0.3,
+        warm_up: ms(6000),
+        overload_factor: 2.5,
+        overload_window: ms(1000),
+        key_cooldown: None,
+        retry_budget: None,
+        max_retry_after: None,
+    };
+    Scheduler::new(fleet, vec![class], limits)
+}
+
+pub fn endpoint(engine: EngineId, lifecycle: Lifecycle) -> Endpoint {
+    let cell = engine as u64 / 10;
+    Endpoint { engine, location: engine % LOCATIONS, kind: 0, cell, lifecycle, launched: None }
+}
+
+pub fn arrival(request: RequestId) -> Arrival {
+    Arrival {
+        request,
+        class: 0,
+        key: None,
+        cost: Some(ms(20)),
+        memory_mb: Some(16.0),
+        deadline: ms(2000),
+        waited: Duration::ZERO,
+        is_retry: None,
+        group: None,
+    }
+}
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -1,11 +1,12 @@
 //! What an input costs before a large fleet, in counted work: engines that were looked at, not time.
 
+#[path = "common/large_fleet.rs"]
+mod fixture;
+
 use emberflow::*;
+use fixture::*;
 use std::time::Duration;
 
-const ROUTERS: usize = 300;
-const LOCATIONS: usize = 3;
-
 /// Actions that are carried out by nobody; sends are collected.
 #[derive(Default)]
 struct Sends(Vec<(RequestId, EngineId)>);
@@ -24,58 +25,6 @@
     fn forget(&mut self, _: EngineId) {}
 }
 
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-fn scheduler(seed: u64, effect: Effect) -> Scheduler {
-    let fleet = Fleet {
-        seed,
-        router_count: ROUTERS,
-        home_location: 0,
-        kinds: vec![EngineKind { cores: 4.0, memory_mb: 4096.0 }],
-        max_grant_share: 0.4,
-        honors_priorities: true,
-        shrinks_grants: false,
-        progress_interval: Some(ms(500)),
-        reports_only_on_probe: false,
-        polls_endpoint_list: false,
-        tick: ms(5),
-    };
-    let class = RequestClass {
-        latency_objective: ms(500),
-        objective_stretch: 0.0,
-        deadline: ms(2000),
-        priority_weight: 1.0,
-        late_share: 0.0,
-        effect,
-        keeps_order: false,
-        kinds: None,
-        locations: None,
-        threads: 1.0,
-        holds_group: false,
-        waits_for_loads: false,
-    };
-    let limits = AttemptLimits {
-        max_attempts: 3,
-        may_cancel: true,
-        may_probe: false,
-        start_capacity: 0.3,
-        warm_up: ms(6000),
-        overload_factor: 2.5,
-        overload_window: ms(1000),
-        key_cooldown: None,
-        retry_budget: None,
-        max_retry_after: None,
-    };
-    Scheduler::new(fleet, vec![class], limits)
-}
-
-fn endpoint(engine: EngineId, lifecycle: Lifecycle) -> Endpoint {
-    let cell = engine as u64 / 10;
-    Endpoint { engine, location: engine % LOCATIONS, kind: 0, cell, lifecycle, launched: None }
-}
-
 fn listed(seed: u64, engines: usize, effect: Effect) -> Scheduler {
     let mut scheduler = scheduler(seed, effect);
     let rows = (0..engines).map(|engine| endpoint(engine, Lifecycle::Ready)).collect();
@@ -83,20 +32,6 @@
     scheduler
 }
 
-fn arrival(request: RequestId) -> Arrival {
-    Arrival {
-        request,
-        class: 0,
-        key: None,
-        cost: Some(ms(20)),
-        memory_mb: Some(16.0),
-        deadline: ms(2000),
-        waited: Duration::ZERO,
-        is_retry: None,
-        group: None,
-    }
-}
-
 fn ended(request: RequestId, attempt: usize, engine: EngineId, outcome: AttemptOutcome) -> AttemptEnded {
     AttemptEnded {
         request,
