--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -115,6 +115,8 @@
     changes: Vec<Vec<Endpoint>>,
     subscribers: Vec<Option<Subscriber>>,
     fault: DiscoveryFault,
+    /// Bytes of lists and changes sent to all routers, without heartbeats.
+    pub list_bytes: u64,
     first_token: usize,
 }
 
@@ -133,6 +135,7 @@
             endpoints,
             subscribers: Vec::new(),
             fault: DiscoveryFault::None,
+            list_bytes: 0,
             first_token,
         };
         discovery.listen(registry)?;
@@ -203,7 +206,9 @@
         let newest = self.changes.len() as u64;
         for number in last_event + 1..=newest {
             let kind = if number == 1 { COMPLETE_LIST } else { CHANGES };
-            subscriber.stream.send(&frame(number, kind, &self.changes[number as usize - 1]));
+            let change = frame(number, kind, &self.changes[number as usize - 1]);
+            self.list_bytes += change.len() as u64;
+            subscriber.stream.send(&change);
         }
         subscriber.last_event = Some(newest.max(last_event));
         subscriber.stream.flush();
@@ -227,6 +232,7 @@
         let complete = frame(number, COMPLETE_LIST, &self.endpoints);
         for subscriber in self.subscribers.iter_mut().flatten() {
             if self.fault == DiscoveryFault::None && subscriber.last_event == Some(number - 1) {
+                self.list_bytes += complete.len() as u64;
                 subscriber.stream.send(&complete);
                 subscriber.last_event = Some(number);
             }
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -149,6 +149,8 @@
     pub usage: Vec<Usage>,
     /// Connections that engines accepted.
     pub engine_connections: u64,
+    /// Bytes of lists and changes that discovery sent to all routers.
+    pub list_bytes: u64,
     /// Answers to requests that no client has sent on that connection.
     pub stray_answers: u64,
     /// Spans in which the emulation itself did not look at its sockets.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -35,6 +35,7 @@
     pub failed: usize,
     pub attempts: usize,
     pub engine_connections: u64,
+    pub list_bytes: u64,
     /// The most that any router used.
     pub cpu_seconds: f64,
     pub memory_kb: u64,
@@ -108,6 +109,7 @@
             failed: answers(AnswerKind::Failed),
             attempts: records.requests.values().map(|request| request.attempts.len()).sum(),
             engine_connections: records.engine_connections,
+            list_bytes: records.list_bytes,
             cpu_seconds: usage().map(|usage| usage.cpu.as_secs_f64()).fold(0.0, f64::max),
             memory_kb: usage().map(|usage| usage.memory_kb).max().unwrap_or(0),
             descriptors: usage().map(|usage| usage.descriptors).max().unwrap_or(0),
@@ -130,7 +132,7 @@
         }
         let verdict = if self.verdict() == Verdict::Held { "held" } else { "BROKEN" };
         format!(
-            "seed {} {verdict} requests={} served={:.3} rejected={} failed={} attempts={} connections={} \
+            "seed {} {verdict} requests={} served={:.3} rejected={} failed={} attempts={} connections={} list_bytes={} \
              cpu_s={:.2} memory_kb={} descriptors={} stall_ms={} violations={:?}\n{}",
             self.seed,
             self.requests,
@@ -139,6 +141,7 @@
             self.failed,
             self.attempts,
             self.engine_connections,
+            self.list_bytes,
             self.cpu_seconds,
             self.memory_kb,
             self.descriptors,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -202,6 +202,7 @@
         for router in &mut self.routers {
             router.kill();
         }
+        self.records.list_bytes = self.discovery.list_bytes;
         Ok(std::mem::take(&mut self.records))
     }
 
