--- a/benches/large_fleet.rs
+++ b/benches/large_fleet.rs
@@ -10,31 +10,6 @@
 
 const SIZES: [usize; 4] = [8, 80, 800, 3200];
 
-/// Actions that nobody carries out; the engine of the last send is kept.
-#[derive(Default)]
-struct LastSend(Option<EngineId>);
-
-impl Actions for LastSend {
-    fn send(&mut self, _: RequestId, engine: EngineId, _: Duration) {
-        self.0 = Some(engine);
-    }
-    fn set_terms(&mut self, _: RequestId, _: f64, _: u8) {}
-    fn cancel(&mut self, _: RequestId, _: usize) {}
-    fn reject(&mut self, _: RequestId, _: Option<Duration>) {}
-    fn fail(&mut self, _: RequestId) {}
-    fn probe(&mut self, _: EngineId) {}
-    fn wake_after(&mut self, _: Duration) {}
-    fn watch(&mut self) {}
-    fn forget(&mut self, _: EngineId) {}
-}
-
-fn listed(engines: usize) -> Scheduler {
-    let mut scheduler = scheduler(1, Effect::Idempotent);
-    let rows = (0..engines).map(|engine| endpoint(engine, Lifecycle::Ready)).collect();
-    scheduler.endpoints_changed(Duration::ZERO, EndpointUpdate::FullList, rows, &mut LastSend::default());
-    scheduler
-}
-
 /// Serves requests with twenty others in flight.
 struct Served {
     scheduler: Scheduler,
@@ -44,7 +19,11 @@
 
 impl Served {
     fn new(engines: usize) -> Self {
-        let mut served = Self { scheduler: listed(engines), in_flight: Default::default(), next: 0 };
+        let mut served = Self {
+            scheduler: listed(1, engines, Effect::Idempotent),
+            in_flight: Default::default(),
+            next: 0,
+        };
         (0..20).for_each(|_| served.accept());
         served
     }
@@ -54,9 +33,9 @@
     }
 
     fn accept(&mut self) {
-        let mut sent = LastSend::default();
+        let mut sent = Sends::default();
         self.scheduler.accept(self.now(), arrival(self.next), &mut sent);
-        self.in_flight.extend(sent.0.map(|engine| (self.next, engine)));
+        self.in_flight.extend(sent.0);
         self.next += 1;
     }
 
@@ -72,7 +51,7 @@
             load_report: None,
             request_done: true,
         };
-        self.scheduler.attempt_ended(self.now(), ended, &mut LastSend::default());
+        self.scheduler.attempt_ended(self.now(), ended, &mut Sends::default());
     }
 }
 
@@ -98,12 +77,7 @@
                 let lifecycle = if is_ready { Lifecycle::Ready } else { Lifecycle::Draining };
                 let rows = vec![endpoint(0, lifecycle)];
                 let now = served.now();
-                served.scheduler.endpoints_changed(
-                    now,
-                    EndpointUpdate::Changes,
-                    rows,
-                    &mut LastSend::default(),
-                );
+                served.scheduler.endpoints_changed(now, EndpointUpdate::Changes, rows, &mut Sends::default());
             });
         });
     }
@@ -119,7 +93,7 @@
                     now,
                     EndpointUpdate::FullList,
                     rows,
-                    &mut LastSend::default(),
+                    &mut Sends::default(),
                 );
             });
         });
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -110,6 +110,13 @@
         }
     }
 
+    fn connection_with_room(&self, router: usize) -> Option<usize> {
+        let has_room = |connection: &Connection| {
+            connection.router == router && connection.is_for_requests && connection.open.len() < MOST_OPEN
+        };
+        self.connections.iter().position(|entry| entry.as_ref().is_some_and(has_room))
+    }
+
     /// Sends a request to a router, on a connection that has room or a new one; returns its name.
     pub fn send_request(
         &mut self,
@@ -120,42 +127,18 @@
         registry: &Registry,
         records: &mut Records,
     ) -> Option<String> {
-        let has_room = |connection: &Connection| {
-            connection.router == router && connection.is_for_requests && connection.open.len() < MOST_OPEN
-        };
-        let usable = |entry: &Option<Connection>| entry.as_ref().is_some_and(has_room);
-        let place = match self.connections.iter().position(usable) {
+        let place = match self.connection_with_room(router) {
             Some(place) => place,
             None => self.connect(router, address, now, registry, true)?,
         };
         let name = format!("{:016x}", self.rng.random::<u64>());
-        let profile = profile(class);
-        let work_ms = profile.work.as_secs_f64() * 1e3;
         let connection = self.connections.get_mut(place)?.as_mut()?;
         let id = connection.next_id;
         connection.next_id += 1;
         connection.last_used = now;
         connection.open.insert(id, name.clone());
-        let mut params = json!({"req": name, "timeout": profile.deadline.as_millis() as u64,
-            "data": BASE64_STANDARD.encode(format!("work_ms={work_ms}")), "ms": work_ms, "memory": 16});
-        if class == Class::Load {
-            params["opkey"] = json!(format!("{name}{name}"));
-        }
-        let line = json!({"jsonrpc": "2.0", "id": id, "method": class.name(), "params": params});
-        records.requests.insert(
-            name.clone(),
-            RequestRecord {
-                class,
-                router,
-                sent_at: now,
-                deadline: profile.deadline,
-                departure: None,
-                answers: Vec::new(),
-                attempts: Vec::new(),
-                connection_ended_at: None,
-            },
-        );
-        self.send_line(place, &line);
+        records.requests.insert(name.clone(), RequestRecord::sent(class, router, now));
+        self.send_line(place, &request_line(id, &name, class));
         if let Some(Some(connection)) = self.connections.get_mut(place)
             && !connection.stream.is_flushed()
         {
@@ -288,6 +271,17 @@
     }
 }
 
+fn request_line(id: u64, name: &str, class: Class) -> Value {
+    let profile = profile(class);
+    let work_ms = profile.work.as_secs_f64() * 1e3;
+    let mut params = json!({"req": name, "timeout": profile.deadline.as_millis() as u64,
+        "data": BASE64_STANDARD.encode(format!("work_ms={work_ms}")), "ms": work_ms, "memory": 16});
+    if class == Class::Load {
+        params["opkey"] = json!(format!("{name}{name}"));
+    }
+    json!({"jsonrpc": "2.0", "id": id, "method": class.name(), "params": params})
+}
+
 fn depart(name: &str, now: Duration, how: Departure, records: &mut Records) {
     if let Some(request) = records.requests.get_mut(name) {
         request.departure.get_or_insert((now, how));
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -14,6 +14,7 @@
     pub command: Command,
 }
 
+/// What to play.
 #[derive(Subcommand)]
 pub enum Command {
     /// Plays one seed.
@@ -67,18 +68,35 @@
     pub json: bool,
 }
 
+/// Why an option's value is refused.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum OptionError {
+    #[error("{text:?} is no number")]
+    NotANumber { text: String },
+    #[error("{least} to {most} is expected")]
+    OutOfRange { least: f64, most: f64 },
+    #[error("two numbers with `..` between them are expected")]
+    NoRange,
+    #[error("the range holds no seed")]
+    EmptyRange,
+    #[error("no such kind of fault: {name}")]
+    UnknownFault { name: String },
+}
+
 /// A kind of fault, or none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FaultName(pub Option<FaultKind>);
 
 impl FromStr for FaultName {
-    type Err = String;
+    type Err = OptionError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         if text == "none" {
             return Ok(Self(None));
         }
-        <FaultKind as clap::ValueEnum>::from_str(text, false).map(|kind| Self(Some(kind)))
+        let unknown = |_| OptionError::UnknownFault { name: text.to_owned() };
+        let kind = <FaultKind as clap::ValueEnum>::from_str(text, false).map_err(unknown)?;
+        Ok(Self(Some(kind)))
     }
 }
 
@@ -97,29 +115,32 @@
 pub struct SeedRange(pub Range<u64>);
 
 impl FromStr for SeedRange {
-    type Err = String;
+    type Err = OptionError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let (start, end) = text.split_once("..").ok_or("two numbers with `..` between them are expected")?;
-        let number = |text: &str| text.parse::<u64>().map_err(|error| format!("{text:?}: {error}"));
+        let (start, end) = text.split_once("..").ok_or(OptionError::NoRange)?;
         let range = number(start)?..number(end)?;
-        if range.is_empty() { Err("the range holds no seed".to_owned()) } else { Ok(Self(range)) }
+        if range.is_empty() { Err(OptionError::EmptyRange) } else { Ok(Self(range)) }
     }
 }
 
-fn between(text: &str, least: f64, most: f64) -> Result<f64, String> {
-    let value: f64 = text.parse().map_err(|error| format!("{error}"))?;
-    if (least..=most).contains(&value) { Ok(value) } else { Err(format!("{least} to {most} is expected")) }
+fn number<T: FromStr>(text: &str) -> Result<T, OptionError> {
+    text.parse().map_err(|_| OptionError::NotANumber { text: text.to_owned() })
+}
+
+fn between(text: &str, least: f64, most: f64) -> Result<f64, OptionError> {
+    let value = number(text)?;
+    if (least..=most).contains(&value) { Ok(value) } else { Err(OptionError::OutOfRange { least, most }) }
 }
 
-fn seconds(text: &str) -> Result<f64, String> {
+fn seconds(text: &str) -> Result<f64, OptionError> {
     between(text, 2.0, 3600.0)
 }
 
-fn rate(text: &str) -> Result<f64, String> {
+fn rate(text: &str) -> Result<f64, OptionError> {
     between(text, 0.1, 500.0)
 }
 
-fn slowdown(text: &str) -> Result<f64, String> {
+fn slowdown(text: &str) -> Result<f64, OptionError> {
     between(text, 1.0, 200.0)
 }
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -1,5 +1,6 @@
 //! What clients and engines saw of each request: the facts that a run is judged by.
 
+use crate::config::profile;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -86,6 +87,22 @@
     pub connection_ended_at: Option<Duration>,
 }
 
+impl RequestRecord {
+    /// A request that is sent now, of which nothing was seen yet.
+    pub fn sent(class: Class, router: usize, now: Duration) -> Self {
+        Self {
+            class,
+            router,
+            sent_at: now,
+            deadline: profile(class).deadline,
+            departure: None,
+            answers: Vec::new(),
+            attempts: Vec::new(),
+            connection_ended_at: None,
+        }
+    }
+}
+
 /// A cold engine: what it may take, and since when.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct ColdStart {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -6,7 +6,7 @@
 use crate::clients::Clients;
 use crate::config::{self, longest_deadline, profile};
 use crate::discovery::{Discovery, DiscoveryFault, Endpoint, EngineState};
-use crate::engines::{EngineFault, EngineTimer, Engines};
+use crate::engines::{Engine, EngineFault, EngineTimer, Engines};
 use crate::faults::{self, Fault};
 use crate::invariants::Terms;
 use crate::options::RunOptions;
@@ -115,19 +115,12 @@
         let poll = Poll::new()?;
         let registry = poll.registry();
         let engines = start_engines(options.engines.into(), registry)?;
-        let endpoint = |(engine, known): (usize, &crate::engines::Engine)| Endpoint {
-            engine,
-            address: known.address,
-            state: EngineState::Ready,
-            up_since_ms: 0,
-        };
-        let endpoints: Vec<Endpoint> = engines.engines.iter().enumerate().map(endpoint).collect();
         // Beside the engines, in the block of addresses that no other run uses.
         let own_address =
             |host: u8, port| SocketAddr::from((Ipv4Addr::new(127, engines.host_block, 0, host), port));
         let discovery = Discovery::start(
             own_address(DISCOVERY_HOST, DISCOVERY_PORT),
-            endpoints,
+            all_ready(&engines),
             DISCOVERY_TOKENS,
             registry,
         )?;
@@ -365,6 +358,17 @@
     Err(error)
 }
 
+/// All engines as the list holds them at the start.
+fn all_ready(engines: &Engines) -> Vec<Endpoint> {
+    let endpoint = |(engine, known): (usize, &Engine)| Endpoint {
+        engine,
+        address: known.address,
+        state: EngineState::Ready,
+        up_since_ms: 0,
+    };
+    engines.engines.iter().enumerate().map(endpoint).collect()
+}
+
 /// Draws what is injected into a router's own process.
 fn process_faults(options: &RunOptions, rng: &mut StdRng) -> ProcessFaults {
     let slowdown =
--- a/crates/soak/src/world/strikes.rs
+++ b/crates/soak/src/world/strikes.rs
@@ -29,35 +29,15 @@
             FaultKind::Failing => self.engines_fail(fault, EngineFault::Failing, now),
             FaultKind::Truncating => self.engines_fail(fault, EngineFault::Truncating, now),
             FaultKind::Pieces => self.engines_fail(fault, EngineFault::InPieces, now),
-            FaultKind::Reset => {
-                for engine in self.draw_engines(fault.part) {
-                    self.engines.reset_connections(engine, now, &mut self.records);
-                }
-            }
-            FaultKind::LateConnect => {
-                let engines = self.draw_engines(fault.part);
-                for engine in &engines {
-                    self.engines.stop_accepting(*engine)?;
-                }
-                self.set(now + fault.span, Timer::AcceptingResumes { engines });
-            }
-            FaultKind::IdleClose => {
-                for engine in self.draw_engines(fault.part) {
-                    self.engines.close_idle_connections(engine);
-                }
-            }
+            FaultKind::Reset => self.reset_connections(fault, now),
+            FaultKind::LateConnect => self.delay_connections(fault, now)?,
+            FaultKind::IdleClose => self.close_idle_connections(fault),
             FaultKind::Drain => self.drain_engines(fault, now),
             FaultKind::Crash => {
                 let engines = self.draw_engines(fault.part);
                 self.crash_engines(engines, fault.span, now);
             }
-            FaultKind::Zone => {
-                let zone = fault.target % ZONES.len();
-                let rows = self.discovery.endpoints.iter();
-                let rows = rows.filter(|row| row.zone() == zone && row.state == EngineState::Ready);
-                let engines = rows.map(|row| row.engine).collect();
-                self.crash_engines(engines, fault.span, now);
-            }
+            FaultKind::Zone => self.crash_engines(self.engines_of_zone(fault), fault.span, now),
             FaultKind::DiscoveryDown => self.discovery_fails(DiscoveryFault::Down, fault, now)?,
             FaultKind::DiscoverySilent => self.discovery_fails(DiscoveryFault::Silent, fault, now)?,
             FaultKind::List => self.discovery.repeat_complete_list(),
@@ -77,6 +57,34 @@
         Ok(())
     }
 
+    fn reset_connections(&mut self, fault: Fault, now: Duration) {
+        for engine in self.draw_engines(fault.part) {
+            self.engines.reset_connections(engine, now, &mut self.records);
+        }
+    }
+
+    fn delay_connections(&mut self, fault: Fault, now: Duration) -> io::Result<()> {
+        let engines = self.draw_engines(fault.part);
+        for engine in &engines {
+            self.engines.stop_accepting(*engine)?;
+        }
+        self.set(now + fault.span, Timer::AcceptingResumes { engines });
+        Ok(())
+    }
+
+    fn close_idle_connections(&mut self, fault: Fault) {
+        for engine in self.draw_engines(fault.part) {
+            self.engines.close_idle_connections(engine);
+        }
+    }
+
+    fn engines_of_zone(&self, fault: Fault) -> Vec<usize> {
+        let zone = fault.target % ZONES.len();
+        let rows = self.discovery.endpoints.iter();
+        let rows = rows.filter(|row| row.zone() == zone && row.state == EngineState::Ready);
+        rows.map(|row| row.engine).collect()
+    }
+
     pub(super) fn engines_fail(&mut self, fault: Fault, how: EngineFault, now: Duration) {
         let engines = self.draw_engines(fault.part);
         self.set_engine_faults(&engines, how, now);
--- a/tests/common/large_fleet.rs
+++ b/tests/common/large_fleet.rs
@@ -71,3 +71,29 @@
         group: None,
     }
 }
+
+/// Actions that are carried out by nobody; sends are collected.
+#[derive(Default)]
+pub struct Sends(pub Vec<(RequestId, EngineId)>);
+
+impl Actions for Sends {
+    fn send(&mut self, request: RequestId, engine: EngineId, _: Duration) {
+        self.0.push((request, engine));
+    }
+    fn set_terms(&mut self, _: RequestId, _: f64, _: u8) {}
+    fn cancel(&mut self, _: RequestId, _: usize) {}
+    fn reject(&mut self, _: RequestId, _: Option<Duration>) {}
+    fn fail(&mut self, _: RequestId) {}
+    fn probe(&mut self, _: EngineId) {}
+    fn wake_after(&mut self, _: Duration) {}
+    fn watch(&mut self) {}
+    fn forget(&mut self, _: EngineId) {}
+}
+
+/// A scheduler that was told of so many ready engines.
+pub fn listed(seed: u64, engines: usize, effect: Effect) -> Scheduler {
+    let mut scheduler = scheduler(seed, effect);
+    let rows = (0..engines).map(|engine| endpoint(engine, Lifecycle::Ready)).collect();
+    scheduler.endpoints_changed(Duration::ZERO, EndpointUpdate::FullList, rows, &mut Sends::default());
+    scheduler
+}
