--- a/review/standins/stand.rs
+++ b/review/standins/stand.rs
@@ -290,9 +290,49 @@
 }
 
 unsafe extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn connect(socket: i32, address: *const SocketAddress, length: u32) -> i32;
 }
 
+const AF_INET: i32 = 2;
+const SOCK_STREAM: i32 = 1;
+const SOL_SOCKET: i32 = 1;
+const SO_RCVBUF: i32 = 8;
+const IPPROTO_TCP: i32 = 6;
+const TCP_MAXSEG: i32 = 2;
+/// Segments and the receive buffer of a connection over a slow link, in bytes. On loopback both are far larger by default.
+const SLOW_LINK_OPTIONS: [(i32, i32, i32); 2] =
+    [(IPPROTO_TCP, TCP_MAXSEG, 1400), (SOL_SOCKET, SO_RCVBUF, 16_384)];
+
+/// Connects with small segments and a small receive buffer, as over a slow link.
+pub fn connect_over_slow_link(address: SocketAddr) -> std::io::Result<TcpStream> {
+    use std::os::fd::FromRawFd;
+    let SocketAddr::V4(v4) = address else { return Err(std::io::Error::other("not an IPv4 address")) };
+    let mut rest = [0; 14];
+    rest[..2].copy_from_slice(&v4.port().to_be_bytes());
+    rest[2..6].copy_from_slice(&v4.ip().octets());
+    let peer = SocketAddress { family: AF_INET as u16, rest };
+    // SAFETY: the addresses of the options and of the peer are valid for the calls, with their lengths; the descriptor is
+    // open and has no other owner.
+    unsafe {
+        let descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        if descriptor < 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(descriptor);
+        for (level, name, value) in SLOW_LINK_OPTIONS {
+            if setsockopt(descriptor, level, name, &raw const value, size_of::<i32>() as u32) != 0 {
+                return Err(std::io::Error::last_os_error());
+            }
+        }
+        if connect(descriptor, &raw const peer, size_of::<SocketAddress>() as u32) != 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
+}
+
 /// Resets a connection: on Linux, connecting a socket to the address family `AF_UNSPEC` ends its connection with a reset.
 pub fn reset(socket: &TcpStream) {
     use std::os::fd::AsRawFd;
@@ -561,10 +601,33 @@
     socket: TcpStream,
     answers: Arc<Mutex<Vec<(u64, Answer, Instant)>>>,
     is_closed: Arc<AtomicBool>,
+    /// Whether the link from the router to the client is slow.
+    pub is_slow: Arc<AtomicBool>,
     next_id: AtomicU64,
     record: Record,
 }
 
+/// While a link is slow, so many bytes come through it in each interval: 50 kB a second.
+const SLOW_LINK_BYTES: usize = 500;
+const SLOW_LINK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The reading side of a client's connection, whose link may be slow.
+struct LinkReader {
+    socket: TcpStream,
+    is_slow: Arc<AtomicBool>,
+}
+
+impl Read for LinkReader {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        if !self.is_slow.load(Ordering::SeqCst) {
+            return self.socket.read(buffer);
+        }
+        thread::sleep(SLOW_LINK_INTERVAL);
+        let length = buffer.len().min(SLOW_LINK_BYTES);
+        self.socket.read(&mut buffer[..length])
+    }
+}
+
 /// A request of a client.
 pub struct Request {
     pub class: String,
@@ -579,9 +642,15 @@
 
 impl Client {
     pub fn connect(name: &str, address: SocketAddr, record: &Record) -> std::io::Result<Self> {
-        let socket = TcpStream::connect(address)?;
+        Self::on(name, TcpStream::connect(address)?, record)
+    }
+
+    /// A client on an open connection.
+    pub fn on(name: &str, socket: TcpStream, record: &Record) -> std::io::Result<Self> {
         socket.set_nodelay(true)?;
-        let reader = BufReader::new(socket.try_clone()?);
+        let is_slow = Arc::new(AtomicBool::new(false));
+        let reader =
+            BufReader::new(LinkReader { socket: socket.try_clone()?, is_slow: Arc::clone(&is_slow) });
         let answers: Arc<Mutex<Vec<(u64, Answer, Instant)>>> = Arc::default();
         let is_closed = Arc::new(AtomicBool::new(false));
         let (shared, closed, log, own_name) =
@@ -602,6 +671,7 @@
             socket,
             answers,
             is_closed,
+            is_slow,
             next_id: AtomicU64::new(1),
             record: record.clone(),
         })
