--- a/review/standins/stand.rs
+++ b/review/standins/stand.rs
@@ -333,14 +333,6 @@
     }
 }
 
-/// Resets a connection: on Linux, connecting a socket to the address family `AF_UNSPEC` ends its connection with a reset.
-pub fn reset(socket: &TcpStream) {
-    use std::os::fd::AsRawFd;
-    let unspecified = SocketAddress { family: 0, rest: [0; 14] };
-    // SAFETY: the address is valid for the call, and its length is given.
-    let _ = unsafe { connect(socket.as_raw_fd(), &raw const unspecified, size_of::<SocketAddress>() as u32) };
-}
-
 // --------------------------------------------------------------------------------------------------------- engines
 
 /// A command that an engine has read.
@@ -363,14 +355,10 @@
 #[derive(Clone)]
 pub struct EngineConnection {
     pub number: u64,
-    /// A number that no other connection of any engine has.
-    pub uid: u64,
     socket: Arc<Mutex<TcpStream>>,
     /// The requests that are given up, or whose answers are written.
     closed: Arc<Mutex<std::collections::BTreeSet<String>>>,
     is_open: Arc<AtomicBool>,
-    /// Whether the connection is forgotten: nothing that comes on it is answered.
-    pub is_forgotten: Arc<AtomicBool>,
 }
 
 impl EngineConnection {
@@ -378,12 +366,6 @@
         lock(&self.socket).write_all(bytes).is_ok()
     }
 
-    /// Resets the connection.
-    pub fn reset(&self) {
-        self.is_open.store(false, Ordering::SeqCst);
-        reset(&lock(&self.socket));
-    }
-
     /// Whether the router has closed the connection.
     pub fn is_open(&self) -> bool {
         self.is_open.load(Ordering::SeqCst)
@@ -397,8 +379,7 @@
 
 type EngineHandler = dyn Fn(&EngineConnection, &EngineCommand) + Send + Sync;
 
-/// An engine on a free port. Its handler gets every command but `PING`, which is answered at once, and the word `OPEN`
-/// for each new connection.
+/// An engine on a free port. Its handler gets every command but `PING`, which is answered at once.
 pub struct Engine {
     pub name: String,
     pub address: SocketAddr,
@@ -433,29 +414,18 @@
 ) {
     let _ = socket.set_nodelay(true);
     let Ok(writer) = socket.try_clone() else { return };
-    static NEXT_UID: AtomicU64 = AtomicU64::new(0);
     let connection = EngineConnection {
         number,
-        uid: NEXT_UID.fetch_add(1, Ordering::SeqCst),
         socket: Arc::new(Mutex::new(writer)),
         closed: Arc::default(),
         is_open: Arc::new(AtomicBool::new(true)),
-        is_forgotten: Arc::default(),
     };
-    handler(&connection, &EngineCommand { word: "OPEN".to_owned(), ..EngineCommand::default() });
     let mut reader = BufReader::new(socket);
     while let Ok(Some(parts)) = read_array(&mut reader) {
         let part = |index: usize| {
             parts.get(index).map(|part| String::from_utf8_lossy(part).into_owned()).unwrap_or_default()
         };
         let command = EngineCommand { word: part(0), id: part(1), fields: part(2), statement: part(3) };
-        if connection.is_forgotten.load(Ordering::SeqCst) {
-            record.log(&format!(
-                "{name} connection {number}, forgotten: {} {}, no answer",
-                command.word, command.id
-            ));
-            continue;
-        }
         match command.word.as_str() {
             "PING" => {
                 connection.write(&answer(&command.id, "PONG", "-", b""));
