--- a/crates/router/src/engine_pool.rs
+++ b/crates/router/src/engine_pool.rs
@@ -6,19 +6,22 @@
 
 mod attempt;
 mod attempt_lifecycle;
+mod commands;
 mod connection;
 mod connection_lifecycle;
 mod endpoints;
 mod fingerprint;
 mod health_check;
-mod messages;
+mod protocol_error;
 mod replies;
+mod reply;
+mod reply_fields;
 mod result_pages;
 mod write_queue;
 
 pub use attempt::Call;
 pub use connection::Reachability;
-pub use messages::EngineProtocolError;
+pub use protocol_error::EngineProtocolError;
 
 use crate::slots::{Slot, SlotMap};
 use attempt::Attempt;
--- a/crates/router/src/engine_pool/attempt.rs
+++ b/crates/router/src/engine_pool/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request at an engine.
 
-use super::messages::{EngineCommand, RunCommand};
+use super::commands::{EngineCommand, RunCommand};
 use super::result_pages::ResultPages;
 use crate::slots::Slot;
 use emberflow::{EngineId, RequestId};
--- a/crates/router/src/engine_pool/attempt_lifecycle.rs
+++ b/crates/router/src/engine_pool/attempt_lifecycle.rs
@@ -1,8 +1,8 @@
 //! Sends, cancels and ends attempts.
 
 use super::attempt::{Attempt, Call};
+use super::commands::EngineCommand;
 use super::connection::IDLE_TIMEOUT_FRACTION;
-use super::messages::EngineCommand;
 use super::{EnginePool, PoolEvent};
 use crate::context::Context;
 use crate::slots::Slot;
--- a/crates/router/src/engine_pool/health_check.rs
+++ b/crates/router/src/engine_pool/health_check.rs
@@ -3,8 +3,8 @@
 
 use super::EnginePool;
 use super::attempt::Attempt;
+use super::commands::EngineCommand;
 use super::connection::{ConnectionState, Reachability};
-use super::messages::EngineCommand;
 use crate::context::Context;
 use crate::slots::Slot;
 use crate::timers::Timer;
--- a/crates/router/src/engine_pool/replies.rs
+++ b/crates/router/src/engine_pool/replies.rs
@@ -1,8 +1,11 @@
 //! Reads replies from engines, and applies them to attempts and connections.
 
 use super::attempt::Attempt;
+use super::commands::EngineCommand;
 use super::connection::Reachability;
-use super::messages::{EngineCommand, EngineProtocolError, EngineReply, ReplyFields, ReplyKind};
+use super::protocol_error::EngineProtocolError;
+use super::reply::{EngineReply, ReplyKind};
+use super::reply_fields::ReplyFields;
 use super::result_pages::ResultPages;
 use super::{EnginePool, PoolEvent};
 use crate::context::Context;
--- a/crates/router/src/engine_pool/result_pages.rs
+++ b/crates/router/src/engine_pool/result_pages.rs
@@ -1,6 +1,6 @@
 //! Collects the pages of a result.
 
-use super::messages::EngineProtocolError;
+use super::protocol_error::EngineProtocolError;
 use crate::resp;
 use emberflow::{LoadReport, Usage};
 
