Log and count what distinguishes the causes of spoilt results and of held memory

Change: 'malformed engine input' names the reply's id and the attempts that end with the connection; 'attempt ended' gives the announced pages and the bytes of the result; the counters' line gives the bytes of statements, collected results, unwritten answers, engines' input and output to engines.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -103,6 +103,11 @@
         idle.min_by_key(|(_, client)| (client.has_sent_line, client.last_active)).map(|(slot, _)| slot)
     }
 
+    /// Returns the unsent bytes of all clients together.
+    pub fn unsent_bytes(&self) -> usize {
+        self.unsent_bytes
+    }
+
     /// Returns the client with the most unsent bytes, or `None` while the unsent bytes of all clients together are
     /// within their limit.
     pub fn slowest_reader(&self) -> Option<Slot> {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -4,7 +4,7 @@
 use crate::clock::whole_ms;
 use crate::config::RouterConfig;
 use crate::context::Context;
-use crate::engine_pool::{Call, EnginePool, PoolSize};
+use crate::engine_pool::{Call, EnginePool, PoolBytes, PoolSize};
 use crate::jsonrpc::{self, ErrorCode};
 use crate::request_table::{Request, RequestTable};
 use crate::timers::Timer;
@@ -252,15 +252,20 @@
         }
     }
 
-    /// Returns all counters and the sizes of all tables as one line for the log.
+    /// Returns all counters, the sizes of all tables and the bytes in all buffers as one line for the log.
     pub fn counters_line(&self) -> String {
         let PoolSize { engines, connections, attempts } = self.engines.size();
+        let PoolBytes { input, output, results } = self.engines.bytes();
+        let statements = self.requests.statement_bytes();
+        let answers = self.clients.unsent_bytes();
         let clients = self.clients.table.len();
         let requests = self.requests.len();
         let timers = self.context.timers.len();
         format!(
             "{} held_clients={clients} held_requests={requests} held_engines={engines} \
-             held_connections={connections} held_attempts={attempts} held_timers={timers}",
+             held_connections={connections} held_attempts={attempts} held_statement_bytes={statements} \
+             held_result_bytes={results} held_answer_bytes={answers} held_engine_input_bytes={input} \
+             held_engine_output_bytes={output} held_timers={timers}",
             self.context.counters
         )
     }
--- a/crates/router/src/engine_pool.rs
+++ b/crates/router/src/engine_pool.rs
@@ -28,6 +28,7 @@
 use connection::Connection;
 use emberflow::{AttemptEnded, EngineId, ProgressUpdate, RequestId};
 use endpoints::Engine;
+use result_pages::ResultPages;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -76,6 +77,17 @@
     pub attempts: usize,
 }
 
+/// The bytes that a pool holds in its buffers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolBytes {
+    /// Input of all connections that is not decoded yet.
+    pub input: usize,
+    /// Output of all connections that is not written yet.
+    pub output: usize,
+    /// Pages of results of which other pages are still missing.
+    pub results: usize,
+}
+
 /// All engines known to a router, the connections to them and the attempts in flight.
 #[derive(Clone)]
 pub struct EnginePool {
@@ -137,6 +149,18 @@
         }
     }
 
+    /// Returns the bytes in the buffers of connections and attempts.
+    pub fn bytes(&self) -> PoolBytes {
+        let mut bytes = PoolBytes::default();
+        for (_, connection) in self.connections.iter() {
+            bytes.input += connection.input.len();
+            bytes.output += connection.output.len();
+        }
+        let results = self.attempts.iter().filter_map(|(_, attempt)| attempt.result.as_ref());
+        bytes.results = results.map(ResultPages::bytes).sum();
+        bytes
+    }
+
     /// Returns the connection that carries an attempt; `None` if the attempt has ended or has no connection.
     pub fn connection_of(&self, attempt: Slot) -> Option<Slot> {
         self.attempts.get(attempt)?.connection
--- a/crates/router/src/engine_pool/attempt_lifecycle.rs
+++ b/crates/router/src/engine_pool/attempt_lifecycle.rs
@@ -3,6 +3,7 @@
 use super::attempt::{Attempt, Call};
 use super::commands::EngineCommand;
 use super::connection::IDLE_TIMEOUT_FRACTION;
+use super::result_pages::ResultPages;
 use super::{EnginePool, PoolEvent};
 use crate::context::Context;
 use crate::slots::Slot;
@@ -177,6 +178,7 @@
         context.counters.count(outcome_counter(outcome));
         self.release_connection(attempt_slot, &attempt, context);
         let late_connection = late_connection(&attempt, outcome);
+        let pages = attempt.result.as_ref().map_or(0, ResultPages::page_count);
         let (usage, reported_with_result) =
             attempt.result.map_or((None, None), |result| (result.usage, result.load_report));
         let ended = AttemptEnded {
@@ -189,7 +191,7 @@
             load_report: load_report.or(reported_with_result),
             request_done: false,
         };
-        log_end(&ended);
+        log_end(&ended, pages, body.as_ref().map_or(0, Vec::len));
         self.events.push_back(PoolEvent::Ended { ended, body, late_connection });
     }
 
@@ -215,9 +217,11 @@
     attempt.connection.filter(|_| was_abandoned && !attempt.is_cancellation_pending())
 }
 
-fn log_end(ended: &AttemptEnded) {
+/// Logs the end of an attempt, with the pages that its engine announced and the bytes of its complete result.
+fn log_end(ended: &AttemptEnded, pages: usize, result_bytes: usize) {
     log::debug!(
-        "attempt ended: request={} attempt={} engine={} outcome={:?} elapsed={:?} usage={:?} load={:?}",
+        "attempt ended: request={} attempt={} engine={} outcome={:?} elapsed={:?} usage={:?} load={:?} \
+         pages={pages} result_bytes={result_bytes}",
         ended.request,
         ended.attempt,
         ended.engine,
--- a/crates/router/src/engine_pool/replies.rs
+++ b/crates/router/src/engine_pool/replies.rs
@@ -22,6 +22,13 @@
 /// page of a result must arrive, within the reply timeout.
 const REPLY_TIMEOUT_RATIO: u32 = 2;
 
+/// Input of an engine that the router rejects. The connection is closed.
+struct RejectedInput {
+    /// The id of the rejected reply, which names a request; `None` if the reply could not be decoded.
+    reply_id: Option<String>,
+    error: EngineProtocolError,
+}
+
 impl EnginePool {
     /// Reads a limited number of bytes from a connection, and handles all complete replies. Returns whether there may
     /// be more input to read.
@@ -29,10 +36,11 @@
         let Some(connection) = self.connections.get_mut(connection_slot) else { return false };
         let engine_id = connection.engine;
         let filled = connection.input.fill(socket, MAX_READ_BYTES_PER_ITERATION);
-        if let Err(error) = self.process_input(connection_slot, context) {
+        if let Err(rejected) = self.process_input(connection_slot, context) {
             context.counters.count("engine_input_malformed");
-            self.log_malformed_input(engine_id, connection_slot, &error);
-            self.close_connection(connection_slot, &error.to_string(), Reachability::Reachable, context);
+            self.log_malformed_input(engine_id, connection_slot, &rejected);
+            let reason = rejected.error.to_string();
+            self.close_connection(connection_slot, &reason, Reachability::Reachable, context);
             return false;
         }
         match filled {
@@ -53,12 +61,16 @@
         matches!(filled, Ok(FillOutcome::LimitReached)) && self.connections.get(connection_slot).is_some()
     }
 
-    fn log_malformed_input(&self, engine_id: EngineId, connection_slot: Slot, error: &EngineProtocolError) {
+    /// Logs rejected input. All attempts on the connection end with it.
+    fn log_malformed_input(&self, engine_id: EngineId, connection_slot: Slot, rejected: &RejectedInput) {
         let engine = self.engines.get(&engine_id);
         let address = engine.map_or_else(String::new, |engine| engine.address.to_string());
+        let connection = self.connections.get(connection_slot);
+        let attempts = connection.map_or(0, |connection| connection.attempts.len());
+        let RejectedInput { reply_id, error } = rejected;
         log::warn!(
             "malformed engine input: engine={engine_id} address={address} connection={connection_slot:?} \
-             error=\"{error}\""
+             attempts={attempts} reply_id={reply_id:?} error=\"{error}\""
         );
     }
 
@@ -88,16 +100,12 @@
     }
 
     /// Handles all complete replies in a connection's input.
-    fn process_input(
-        &mut self,
-        connection_slot: Slot,
-        context: &mut Context,
-    ) -> Result<(), EngineProtocolError> {
+    fn process_input(&mut self, connection_slot: Slot, context: &mut Context) -> Result<(), RejectedInput> {
         loop {
             let Some(connection) = self.connections.get_mut(connection_slot) else { return Ok(()) };
-            let Some((reply, length)) = EngineReply::decode(connection.input.contents())? else {
-                return Ok(());
-            };
+            let decoded = EngineReply::decode(connection.input.contents())
+                .map_err(|error| RejectedInput { reply_id: None, error })?;
+            let Some((reply, length)) = decoded else { return Ok(()) };
             connection.input.consume(length);
             connection.last_reply_at = context.now();
             if let Some(due) = connection.reply_due.take() {
@@ -106,7 +114,9 @@
             if connection.pass_health_check() {
                 self.schedule_writes(connection_slot, context);
             }
-            self.dispatch_reply(connection_slot, reply, context)?;
+            let reply_id = reply.id.clone();
+            self.dispatch_reply(connection_slot, reply, context)
+                .map_err(|error| RejectedInput { reply_id: Some(reply_id), error })?;
         }
     }
 
--- a/crates/router/src/engine_pool/result_pages.rs
+++ b/crates/router/src/engine_pool/result_pages.rs
@@ -10,6 +10,7 @@
 /// A result whose first page has arrived.
 #[derive(Clone)]
 pub(super) struct ResultPages {
+    page_count: usize,
     pages: Vec<Option<Vec<u8>>>,
     pub usage: Option<Usage>,
     pub load_report: Option<LoadReport>,
@@ -25,7 +26,7 @@
     ) -> Self {
         let mut pages = vec![None; count];
         pages[0] = Some(first_page);
-        Self { pages, usage, load_report }
+        Self { page_count: count, pages, usage, load_report }
     }
 
     /// Adds a page by its number, from 0. Returns false if that page has arrived before, or if the result has no page
@@ -45,6 +46,16 @@
         self.pages.iter().all(Option::is_some)
     }
 
+    /// Returns the number of pages that the engine announced, also after the pages were taken.
+    pub fn page_count(&self) -> usize {
+        self.page_count
+    }
+
+    /// Returns the bytes of the pages that have arrived.
+    pub fn bytes(&self) -> usize {
+        self.pages.iter().flatten().map(Vec::len).sum()
+    }
+
     /// Takes the pages out and concatenates them.
     ///
     /// # Errors
