Reject spoilt answers of engines, which were served with none or half of their rows

A client cannot tell them from valid ones.

Cause: a reply was read by what the decoder found, not by what the protocol requires. `EngineReply::decode` took any number of parts and counted missing ones as empty, so an array of 3 was a whole answer without a body; the attempt had succeeded before the left-over string made the input malformed. A HIT without `pages` counted as one page, so noise in place of that name dropped all further pages; negative and fractional counts were rounded into range, a repeated name was ignored.

The new tests on the code before: 16 of 29 spoilt replies succeed, among them an array of 3 or 2, no `pages`, `pages` twice, `pages=1.9`, a first or second page of two without rows; a SHED after a page ended the attempt as never run; `results_in_spoilt_replies_are_retried_if_idempotent_and_never_served_in_part` (real sockets) fails for want of a retry. The test of the allowed forms passes before and after.

Change: an answer has exactly four parts; fields are a list whose entries are checked (`field_list.rs`); `pages` and `page` are required and whole; numbers lie in 0 to 1e9, as those of clients do; a page of several has rows; a copy equals the page; SHED and LATE do not follow a HIT. What the page leaves open stays valid: pieces, any order, `-` or an empty text for none, unknown fields and ids, copies, pages that were not requested. Why it works: a result ends its attempt only after each reply that it is made of has passed all checks. Rejected replies close the connection, are logged with their reason and counted; requests are retried or fail.

Tests changed: the codec's tests take the number of parts; an array of none is now among the malformed ones; generated replies have four parts in most cases, as any other number ends the input.

--- a/crates/model-checker/src/mutants.rs
+++ b/crates/model-checker/src/mutants.rs
@@ -240,8 +240,8 @@
     Mutant {
         name: "a second answer restarts a result",
         file: POOL_REPLIES,
-        from: "if attempt.result.is_some() {",
-        to: "if attempt.result.is_some() && attempt.number > 9 {",
+        from: "if let Some(result) = &attempt.result {",
+        to: "if let Some(result) = attempt.result.as_ref().filter(|_| attempt.number > 9) {",
     },
     Mutant {
         name: "an answer ends any attempt",
--- a/crates/model-checker/tests/random.rs
+++ b/crates/model-checker/tests/random.rs
@@ -107,16 +107,23 @@
 
 /// Bytes that resemble replies of an engine: well-formed arrays of the RESP protocol, mixed with noise.
 fn reply_like_bytes() -> impl Strategy<Value = Vec<u8>> {
-    let part = prop::collection::vec(any::<u8>(), 0..12);
-    let well_formed = prop::collection::vec(part, 0..10)
-        .prop_map(|parts| encode_array(&parts.iter().map(Vec::as_slice).collect::<Vec<_>>()));
+    let part = || prop::collection::vec(any::<u8>(), 0..12);
+    let parts = prop_oneof![
+        3 => prop::collection::vec(part(), REPLY_PARTS),
+        1 => prop::collection::vec(part(), 0..10),
+    ];
+    let well_formed =
+        parts.prop_map(|parts| encode_array(&parts.iter().map(Vec::as_slice).collect::<Vec<_>>()));
     let noise = prop_oneof![
         prop::collection::vec(any::<u8>(), 0..16),
         "[*$][0-9]{0,9}\r?\n?".prop_map(String::into_bytes)
     ];
-    prop::collection::vec(prop_oneof![4 => well_formed, 1 => noise], 0..6).prop_map(|parts| parts.concat())
+    prop::collection::vec(prop_oneof![4 => well_formed, 1 => noise], 0..6)
+        .prop_map(|replies| replies.concat())
 }
 
+/// Number of parts of a reply.
+const REPLY_PARTS: usize = 4;
 /// Length of a frame's event number and kind, in bytes; the length field of the frame includes them.
 const FRAME_HEADER_BYTES: u32 = 9;
 /// Length of an engine's record in a frame, in bytes.
@@ -161,10 +168,7 @@
     #[test]
     fn replies_split_anywhere_are_parsed_alike(bytes in reply_like_bytes(), at in any::<usize>()) {
         let parse = |received: &[u8]| {
-            let owned = |array: resp::Array<'_>| {
-                let parts: Vec<Vec<u8>> = array.parts.iter().map(|part| part.to_vec()).collect();
-                (parts, array.length)
-            };
+            let owned = |array: resp::Array<'_, REPLY_PARTS>| (array.parts.map(<[u8]>::to_vec), array.length);
             resp::parse_array(received).map(|parsed| parsed.map(owned))
         };
         let (front, back) = bytes.split_at(at % (bytes.len() + 1));
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -11,6 +11,10 @@
 /// Bytes of a megabyte (MB) in the configuration.
 pub const BYTES_PER_MB: usize = 1 << 20;
 
+/// Upper limit of numbers from clients and engines, in milliseconds or MB. The scheduler's estimates must not be
+/// distorted by impossible values.
+pub const MAX_PEER_NUMBER: f64 = 1e9;
+
 /// Connections of clients may use the descriptors of the process divided by this number. The descriptors that neither
 /// clients nor engines may use are for connections that are being opened or closed.
 const CLIENT_DESCRIPTORS_DIVISOR: usize = 2;
--- a/crates/router/src/engine_pool/replies.rs
+++ b/crates/router/src/engine_pool/replies.rs
@@ -162,7 +162,8 @@
         context: &mut Context,
     ) -> Result<(), EngineProtocolError> {
         let Some(attempt) = self.attempts.get(attempt_slot) else { return Ok(()) };
-        let EngineReply { id: _, kind, fields, body } = reply;
+        let EngineReply { id: _, kind, fields: encoded_fields, body } = reply;
+        let fields = encoded_fields.decode()?;
         let load_report = fields.load_report()?;
         if attempt.is_cancellation_pending() && is_ignored_after_cancel(&kind, &fields)? {
             return Ok(());
@@ -171,6 +172,10 @@
             ReplyKind::Result => self.handle_result(attempt_slot, &fields, body, load_report, context),
             ReplyKind::Page => self.handle_page(attempt_slot, &fields, body, context),
             ReplyKind::Progress => self.handle_progress(attempt_slot, &fields, context),
+            // An attempt that never ran may be sent again, whatever its class.
+            ReplyKind::Overloaded if attempt.result.is_some() => {
+                Err(EngineProtocolError::RejectedAfterResult)
+            }
             ReplyKind::Overloaded => {
                 self.end(attempt_slot, AttemptOutcome::Overloaded, load_report, context);
                 Ok(())
@@ -185,23 +190,24 @@
         }
     }
 
-    /// Stores the first page of a result, and requests the further pages. Ignores a second result of the same attempt.
+    /// Stores the first page of a result, and requests the further pages. Ignores a copy of the first page.
     fn handle_result(
         &mut self,
         attempt_slot: Slot,
-        fields: &ReplyFields,
+        fields: &ReplyFields<'_>,
         body: Vec<u8>,
         load_report: Option<LoadReport>,
         context: &mut Context,
     ) -> Result<(), EngineProtocolError> {
         let Some(attempt) = self.attempts.get_mut(attempt_slot) else { return Ok(()) };
-        if attempt.result.is_some() {
+        let pages = fields.page_count()?;
+        if let Some(result) = &attempt.result {
+            result.check_first_page_copy(pages, &body)?;
             context.counters.count("engine_answers_repeated");
             return Ok(());
         }
-        let pages = fields.page_count()?;
         let usage = fields.usage()?;
-        attempt.result = Some(ResultPages::new(body, pages, usage, load_report));
+        attempt.result = Some(ResultPages::new(body, pages, usage, load_report)?);
         let id = attempt.request_name.as_str();
         let page_requests: Vec<Vec<u8>> =
             (1..pages).map(|page| EngineCommand::Page { id, page }.encode()).collect();
@@ -209,16 +215,17 @@
         self.end_if_result_complete(attempt_slot, context)
     }
 
+    /// Stores a further page of a result. Ignores a copy of a page, and a page that was not requested.
     fn handle_page(
         &mut self,
         attempt_slot: Slot,
-        fields: &ReplyFields,
+        fields: &ReplyFields<'_>,
         body: Vec<u8>,
         context: &mut Context,
     ) -> Result<(), EngineProtocolError> {
         let Some(attempt) = self.attempts.get_mut(attempt_slot) else { return Ok(()) };
         let page = fields.page_number()?;
-        let is_new = attempt.result.as_mut().is_some_and(|result| result.add(page, body));
+        let is_new = attempt.result.as_mut().map_or(Ok(false), |result| result.add(page, body))?;
         if !is_new {
             context.counters.count("engine_answers_repeated");
             return Ok(());
@@ -229,7 +236,7 @@
     fn handle_progress(
         &mut self,
         attempt_slot: Slot,
-        fields: &ReplyFields,
+        fields: &ReplyFields<'_>,
         context: &mut Context,
     ) -> Result<(), EngineProtocolError> {
         let Some(attempt) = self.attempts.get(attempt_slot) else { return Ok(()) };
@@ -264,10 +271,10 @@
 
 /// Whether a reply to a cancelled attempt is ignored. A result in a single page is used, since the engine sent it
 /// before it read the cancellation.
-fn is_ignored_after_cancel(kind: &ReplyKind, fields: &ReplyFields) -> Result<bool, EngineProtocolError> {
+fn is_ignored_after_cancel(kind: &ReplyKind, fields: &ReplyFields<'_>) -> Result<bool, EngineProtocolError> {
     match kind {
         ReplyKind::Progress => Ok(true),
-        ReplyKind::Result => fields.has_further_pages(),
+        ReplyKind::Result => Ok(fields.page_count()? > 1),
         _ => Ok(false),
     }
 }
--- a/crates/router/src/engine_pool/reply.rs
+++ b/crates/router/src/engine_pool/reply.rs
@@ -1,8 +1,8 @@
 //! Decodes the replies of engines, which are RESP arrays.
 
 use super::protocol_error::EngineProtocolError;
-use super::reply_fields::ReplyFields;
-use crate::resp;
+use super::reply_fields::EncodedFields;
+use crate::resp::{self, Array};
 
 /// The type of a reply.
 #[derive(Debug, PartialEq)]
@@ -37,29 +37,33 @@
     }
 }
 
-/// A message from an engine. The fields are decoded on access, so that malformed fields of an ignored reply cause no
-/// error.
+/// A message from an engine.
 pub(super) struct EngineReply {
     /// The name of the attempt's request, or the id of a health check.
     pub id: String,
     pub kind: ReplyKind,
-    pub fields: ReplyFields,
+    /// The fields. Those of an ignored reply are not decoded, so that they cause no error.
+    pub fields: EncodedFields,
     pub body: Vec<u8>,
 }
 
 impl EngineReply {
     /// Decodes the first reply in `bytes`, and returns it with its encoded length in bytes. Returns `None` until the
     /// reply is complete.
+    ///
+    /// # Errors
+    /// Fails unless the bytes are the beginning of an array of exactly an id, a type, fields and a body. With any other
+    /// number of parts, the limits of the reply and of the next one are unknown, and its body may be missing.
     pub fn decode(bytes: &[u8]) -> Result<Option<(Self, usize)>, EngineProtocolError> {
-        let Some(array) = resp::parse_array(bytes)? else { return Ok(None) };
-        // A reply may omit parts at its end; they count as empty.
-        let mut parts = array.parts.iter().copied();
-        let mut next_part = || parts.next().unwrap_or_default();
-        let id = decode_text(next_part(), "id")?;
-        let kind = ReplyKind::decode(&decode_text(next_part(), "type")?);
-        let fields = ReplyFields(decode_text(next_part(), "fields")?);
-        let body = next_part().to_vec();
-        Ok(Some((Self { id, kind, fields, body }, array.length)))
+        let Some(Array { parts, length }) = resp::parse_array(bytes)? else { return Ok(None) };
+        let [id, kind, fields, body] = parts;
+        let reply = Self {
+            id: decode_text(id, "id")?,
+            kind: ReplyKind::decode(&decode_text(kind, "type")?),
+            fields: EncodedFields(decode_text(fields, "fields")?),
+            body: body.to_vec(),
+        };
+        Ok(Some((reply, length)))
     }
 }
 
--- a/crates/router/src/engine_pool/reply_fields.rs
+++ b/crates/router/src/engine_pool/reply_fields.rs
@@ -1,33 +1,56 @@
 //! Decodes the fields of engines' replies.
 
 use super::protocol_error::EngineProtocolError;
-use crate::resp;
+use crate::config::MAX_PEER_NUMBER;
+use crate::field_list::{FieldList, Separators};
 use emberflow::{LoadReport, ProgressUpdate, Usage};
 use emberflow_settings::{build_load_report, from_ms};
 
 /// Limit of the number of pages of a result.
 pub(super) const MAX_PAGES: usize = 256;
-/// The separator between the fields of a reply, and the separator between a field's name and its value.
-const FIELD_SEPARATORS: (char, char) = (',', '=');
-/// The same separators within a load report.
-const LOAD_SEPARATORS: (char, char) = (';', ':');
+/// The separators of a reply's fields.
+const FIELD_SEPARATORS: Separators = Separators { field: ',', value: '=' };
+/// The separators of the figures of a load report.
+const LOAD_SEPARATORS: Separators = Separators { field: ';', value: ':' };
 /// Value of a `stall` report if the attempt waits for memory.
 const STALLED_FOR_MEMORY: f64 = 1.0;
 /// Value of a `stall` report if the attempt waits for a bulk load of its table group.
 const STALLED_FOR_BULK_LOAD: f64 = 2.0;
 
-/// The fields of a reply, as `name=value` separated by commas.
-pub(super) struct ReplyFields(pub String);
+/// The undecoded fields of a reply.
+pub(super) struct EncodedFields(pub String);
 
-impl ReplyFields {
-    fn text(&self, name: &str) -> Option<&str> {
-        resp::field_value(&self.0, name, FIELD_SEPARATORS)
+impl EncodedFields {
+    /// Decodes the list of fields. The values are decoded on access.
+    ///
+    /// # Errors
+    /// Fails if the text is not a list of names and values.
+    pub fn decode(&self) -> Result<ReplyFields<'_>, EngineProtocolError> {
+        Ok(ReplyFields(FieldList::parse(&self.0, FIELD_SEPARATORS)?))
     }
+}
+
+/// The fields of a reply.
+pub(super) struct ReplyFields<'a>(FieldList<'a>);
 
-    /// Decodes a numeric field; `None` if the reply does not have it. A negative number counts as 0.
+impl<'a> ReplyFields<'a> {
+    fn text(&self, name: &str) -> Option<&'a str> {
+        self.0.get(name)
+    }
+
+    /// Decodes a numeric field; `None` if the reply does not have it.
     fn number(&self, name: &str) -> Result<Option<f64>, EngineProtocolError> {
-        let number = self.text(name).map(|value| parse_number(name, value)).transpose()?;
-        Ok(number.map(|number| number.max(0.0)))
+        self.text(name).map(|value| parse_number(name, value)).transpose()
+    }
+
+    /// Decodes a numeric field that must be a whole number; `None` if the reply does not have it.
+    fn whole_number(&self, name: &str) -> Result<Option<usize>, EngineProtocolError> {
+        match self.number(name)? {
+            Some(number) if number.fract() != 0.0 => {
+                Err(EngineProtocolError::NotWhole { name: name.to_owned(), value: number })
+            }
+            number => Ok(number.map(|number| number as usize)),
+        }
     }
 
     /// Decodes the load report, if the reply carries one.
@@ -35,24 +58,19 @@
         self.text("use").map(parse_load_report).transpose()
     }
 
-    /// Whether a result has more than one page. A reply that does not give the number of pages has one.
-    pub fn has_further_pages(&self) -> Result<bool, EngineProtocolError> {
-        Ok(self.number("pages")?.is_some_and(|pages| pages > 1.0))
-    }
-
-    /// Decodes the number of pages of a result, which is 1 if the reply does not give it.
+    /// Decodes the number of pages of a result. Every result must state it, because a result with missing pages looks
+    /// like a complete one.
     pub fn page_count(&self) -> Result<usize, EngineProtocolError> {
-        let pages = self.number("pages")?.unwrap_or(1.0);
-        if !(1.0..=MAX_PAGES as f64).contains(&pages) {
+        let pages = self.whole_number("pages")?.ok_or(EngineProtocolError::NoPageCount)?;
+        if !(1..=MAX_PAGES).contains(&pages) {
             return Err(EngineProtocolError::PageCount(pages));
         }
-        Ok(pages as usize)
+        Ok(pages)
     }
 
     /// Decodes the number of a further page of a result.
     pub fn page_number(&self) -> Result<usize, EngineProtocolError> {
-        let page = self.number("page")?.ok_or(EngineProtocolError::NoPageNumber)?;
-        Ok(page as usize)
+        self.whole_number("page")?.ok_or(EngineProtocolError::NoPageNumber)
     }
 
     /// Decodes the resources that the engine used for a result: the cost in ms and the memory in MB. Returns `None`
@@ -81,9 +99,10 @@
 
 /// Decodes a load report. Each of its values may be given under one of several names.
 fn parse_load_report(text: &str) -> Result<LoadReport, EngineProtocolError> {
+    let figures = FieldList::parse(text, LOAD_SEPARATORS)?;
     build_load_report(|names| {
         for name in names {
-            if let Some(value) = resp::field_value(text, name, LOAD_SEPARATORS) {
+            if let Some(value) = figures.get(name) {
                 return parse_number(name, value).map(Some);
             }
         }
@@ -91,8 +110,9 @@
     })
 }
 
+/// Decodes a number from 0 to [`MAX_PEER_NUMBER`].
 fn parse_number(name: &str, value: &str) -> Result<f64, EngineProtocolError> {
-    let number = value.parse().ok().filter(|number: &f64| number.is_finite());
-    let malformed = || EngineProtocolError::NotANumber { name: name.to_owned(), value: value.to_owned() };
-    number.ok_or_else(malformed)
+    let number = value.parse().ok().filter(|number| (0.0..=MAX_PEER_NUMBER).contains(number));
+    let invalid = || EngineProtocolError::NotANumber { name: name.to_owned(), value: value.to_owned() };
+    number.ok_or_else(invalid)
 }
--- a/crates/router/src/engine_pool/result_pages.rs
+++ b/crates/router/src/engine_pool/result_pages.rs
@@ -7,6 +7,9 @@
 /// Limit of the size of a result, all pages together.
 pub(super) const MAX_RESULT_BYTES: usize = 48_000;
 
+/// The number of the first page of a result.
+const FIRST_PAGE: usize = 0;
+
 /// A result whose first page has arrived.
 #[derive(Clone)]
 pub(super) struct ResultPages {
@@ -17,30 +20,53 @@
 }
 
 impl ResultPages {
-    /// Creates a result of `count` pages, at least one, from its first page.
+    /// Creates a result of `page_count` pages, at least one, from its first page.
+    ///
+    /// # Errors
+    /// Fails if the result has several pages and the first one has no rows.
     pub fn new(
         first_page: Vec<u8>,
-        count: usize,
+        page_count: usize,
         usage: Option<Usage>,
         load_report: Option<LoadReport>,
-    ) -> Self {
-        let mut pages = vec![None; count];
-        pages[0] = Some(first_page);
-        Self { page_count: count, pages, usage, load_report }
+    ) -> Result<Self, EngineProtocolError> {
+        let mut result = Self { page_count, pages: vec![None; page_count], usage, load_report };
+        result.add(FIRST_PAGE, first_page)?;
+        Ok(result)
     }
 
     /// Adds a page by its number, from 0. Returns false if that page has arrived before, or if the result has no page
     /// with that number.
-    pub fn add(&mut self, page: usize, body: Vec<u8>) -> bool {
-        match self.pages.get_mut(page) {
+    ///
+    /// # Errors
+    /// Fails if the page differs from the one that has arrived before under its number, or if the result has several
+    /// pages and this one has no rows.
+    pub fn add(&mut self, number: usize, page: Vec<u8>) -> Result<bool, EngineProtocolError> {
+        match self.pages.get_mut(number) {
+            None => Ok(false),
+            Some(Some(known)) if *known != page => Err(EngineProtocolError::ContradictoryPage(number)),
+            Some(Some(_)) => Ok(false),
+            // A result without rows has one page.
+            Some(None) if page.is_empty() && self.page_count > 1 => {
+                Err(EngineProtocolError::EmptyPage(number))
+            }
             Some(missing @ None) => {
-                *missing = Some(body);
-                true
+                *missing = Some(page);
+                Ok(true)
             }
-            _ => false,
         }
     }
 
+    /// Checks a repeated first page, which must announce `page_count` pages and have the same rows.
+    ///
+    /// # Errors
+    /// Fails if the two differ. Either of them may have been altered.
+    pub fn check_first_page_copy(&self, page_count: usize, page: &[u8]) -> Result<(), EngineProtocolError> {
+        let known = self.pages.get(FIRST_PAGE).and_then(Option::as_deref);
+        let is_copy = page_count == self.page_count && known == Some(page);
+        if is_copy { Ok(()) } else { Err(EngineProtocolError::ContradictoryPage(FIRST_PAGE)) }
+    }
+
     /// Whether all pages have arrived.
     pub fn is_complete(&self) -> bool {
         self.pages.iter().all(Option::is_some)
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod engine_pool;
 pub mod error;
 pub mod event_loop;
+pub mod field_list;
 pub mod final_checks;
 pub mod jsonrpc;
 mod ready_list;
--- a/crates/router/src/resp.rs
+++ b/crates/router/src/resp.rs
@@ -1,11 +1,12 @@
-//! The encoding of messages between the router and engines: RESP arrays of bulk strings (called parts here), and the
-//! lists of fields in them.
+//! The encoding of messages between the router and engines: RESP arrays of bulk strings (called parts here).
 
 use std::io::Write;
 use thiserror::Error;
 
-/// Limit of the number of parts of an array.
-const MAX_PARTS: usize = 8;
+/// First byte of an array.
+const ARRAY_TYPE: u8 = b'*';
+/// First byte of a part.
+const PART_TYPE: u8 = b'$';
 /// Limit of the size of a part.
 const MAX_PART_BYTES: usize = 64 * 1024;
 /// Limit of the number of digits of a length.
@@ -18,9 +19,14 @@
 /// An error in the encoding of a RESP array. The texts are logged, and are not sent to a peer.
 #[derive(Debug, PartialEq, Eq, Error)]
 pub enum RespError {
-    /// The array announces this number of parts, which exceeds the limit.
-    #[error("array has {0} parts, more than the limit of {max}", max = MAX_PARTS)]
-    TooManyParts(usize),
+    /// The array announces a wrong number of parts.
+    #[error("array has {found} parts, expected {expected}")]
+    PartCount {
+        /// The number that the array announces.
+        found: usize,
+        /// The number that the protocol requires.
+        expected: usize,
+    },
     /// A part announces this number of bytes, which exceeds the limit.
     #[error("part has {0} bytes, more than the limit of {max}", max = MAX_PART_BYTES)]
     PartTooLong(usize),
@@ -48,29 +54,29 @@
     MalformedLength(Vec<u8>),
 }
 
-/// A decoded array.
+/// A decoded array of `N` bulk strings.
 #[derive(Debug, PartialEq, Eq)]
-pub struct Array<'a> {
+pub struct Array<'a, const N: usize> {
     /// The contents of the bulk strings, in order.
-    pub parts: Vec<&'a [u8]>,
+    pub parts: [&'a [u8]; N],
     /// Length of the encoded array in bytes.
     pub length: usize,
 }
 
-/// Decodes the first array in `bytes`. Returns `None` until the array is complete.
+/// Decodes the first array in `bytes`, which must have exactly `N` parts. Returns `None` until the array is complete.
 ///
 /// # Errors
-/// Fails if the bytes are not the beginning of an array, or if the array exceeds a limit.
-pub fn parse_array(bytes: &[u8]) -> Result<Option<Array<'_>>, RespError> {
-    let Some(header) = parse_length(bytes, b'*')? else { return Ok(None) };
-    if header.value > MAX_PARTS {
-        return Err(RespError::TooManyParts(header.value));
+/// Fails if the bytes are not the beginning of an array of `N` parts, or if a part exceeds the limit.
+pub fn parse_array<const N: usize>(bytes: &[u8]) -> Result<Option<Array<'_, N>>, RespError> {
+    let Some(header) = parse_length(bytes, ARRAY_TYPE)? else { return Ok(None) };
+    if header.value != N {
+        return Err(RespError::PartCount { found: header.value, expected: N });
     }
     let mut length = header.encoded_bytes;
-    let mut parts = Vec::with_capacity(header.value);
-    for _ in 0..header.value {
-        let Some((part, encoded_bytes)) = parse_part(&bytes[length..])? else { return Ok(None) };
-        parts.push(part);
+    let mut parts = [[].as_slice(); N];
+    for part in &mut parts {
+        let Some((content, encoded_bytes)) = parse_part(&bytes[length..])? else { return Ok(None) };
+        *part = content;
         length += encoded_bytes;
     }
     Ok(Some(Array { parts, length }))
@@ -79,7 +85,7 @@
 /// Decodes the part at the front of `bytes`, and returns its content with its encoded length in bytes. Returns `None`
 /// until the part is complete.
 fn parse_part(bytes: &[u8]) -> Result<Option<(&[u8], usize)>, RespError> {
-    let Some(Length { value, encoded_bytes }) = parse_length(bytes, b'$')? else { return Ok(None) };
+    let Some(Length { value, encoded_bytes }) = parse_length(bytes, PART_TYPE)? else { return Ok(None) };
     if value > MAX_PART_BYTES {
         return Err(RespError::PartTooLong(value));
     }
@@ -146,11 +152,3 @@
     }
     bytes
 }
-
-/// Returns the value of a field in a list such as `name=value,name=value`; `None` if the list does not have the field.
-/// `separators` are the separator between fields, and the separator between a field's name and value.
-pub fn field_value<'a>(fields: &'a str, name: &str, separators: (char, char)) -> Option<&'a str> {
-    let (field_separator, value_separator) = separators;
-    let mut pairs = fields.split(field_separator).filter_map(|field| field.split_once(value_separator));
-    pairs.find(|(field, _)| *field == name).map(|(_, value)| value)
-}
--- a/crates/router/src/server/parameters.rs
+++ b/crates/router/src/server/parameters.rs
@@ -1,5 +1,6 @@
 //! Decodes and validates the parameters of a client's request.
 
+use crate::config::MAX_PEER_NUMBER;
 use crate::{jsonrpc, statement};
 use emberflow::KeyId;
 use emberflow_operator::{MAX_NAME_BYTES, TeamConfig};
@@ -11,9 +12,6 @@
 
 /// Number of hexadecimal digits in a request's name.
 const NAME_DIGITS: usize = 16;
-/// Upper limit of numbers from clients, in milliseconds or MB. The scheduler's estimates must not be distorted by
-/// impossible values.
-const MAX_NUMBER: f64 = 1e9;
 /// The urgency of a request that does not state one.
 const DEFAULT_URGENCY: u8 = 0;
 /// The highest urgency.
@@ -161,11 +159,13 @@
     fields.optional(name, Fields::text)
 }
 
-/// Decodes a number from 0 to [`MAX_NUMBER`]; returns `None` if the number is absent or 0.
+/// Decodes a number from 0 to [`MAX_PEER_NUMBER`]; returns `None` if the number is absent or 0.
 fn optional_number(fields: Fields<'_>, name: &'static str) -> Result<Option<f64>, ParameterError> {
     let value = fields.optional(name, Fields::number)?;
     match value {
-        Some(value) if !(0.0..=MAX_NUMBER).contains(&value) => Err(ParameterError::NumberOutOfRange(name)),
+        Some(value) if !(0.0..=MAX_PEER_NUMBER).contains(&value) => {
+            Err(ParameterError::NumberOutOfRange(name))
+        }
         value => Ok(value.filter(|value| *value > 0.0)),
     }
 }
--- a/crates/router/tests/codecs.rs
+++ b/crates/router/tests/codecs.rs
@@ -1,6 +1,7 @@
 //! Tests of the codecs: the decoded messages do not depend on how the bytes are split, and malformed input is rejected.
 
 use emberflow_peer_protocol::resp::encode_array;
+use emberflow_router::field_list::{FieldList, Separators};
 use emberflow_router::{discovery, jsonrpc, resp, ring::RingBuffer, statement};
 use expect_test::expect;
 
@@ -35,11 +36,11 @@
             b"a\tb\tc\n\r\n",
         ]),
         encode_array(&[b"9b1f", b"INFO", b"-", b""]),
-        encode_array(&[]),
     ];
     let parse = |buffer: &mut RingBuffer| {
         let (line, length) = {
-            let resp::Array { parts, length } = resp::parse_array(buffer.contents()).expect("well formed")?;
+            let resp::Array { parts, length } =
+                resp::parse_array::<4>(buffer.contents()).expect("well formed")?;
             let parts: Vec<_> = parts.iter().map(|part| part.escape_ascii().to_string()).collect();
             (parts.join(" | "), length)
         };
@@ -48,17 +49,18 @@
     };
     expect![[r#"
         9b1f | HIT | pages=2,cost=812.5,need=96,use=util:0.61;queue:0 | a\tb\tc\n\r\n
-        9b1f | INFO | - | 
-    "#]]
+        9b1f | INFO | - | "#]]
     .assert_eq(&decode_with_every_split(&input.concat(), parse));
 }
 
 #[test]
 fn malformed_arrays_are_rejected_with_their_error() {
-    let malformed: [&[u8]; 9] = [
+    let malformed: [&[u8]; 11] = [
         b"hello",
         b"*x\r\n",
         b"*9\r\n",
+        b"*0\r\n",
+        b"*2\r\n",
         b"*12345678901\r\n",
         b"*1\r\n+ok\r\n",
         b"*1\r\n$-1\r\n",
@@ -69,13 +71,15 @@
     let errors: String = malformed
         .iter()
         .map(|bytes| {
-            format!("{:?}\n", resp::parse_array(bytes).map(|_| ()).map_err(|error| error.to_string()))
+            format!("{:?}\n", resp::parse_array::<1>(bytes).map(|_| ()).map_err(|error| error.to_string()))
         })
         .collect();
     expect![[r#"
         Err("expected the type byte `*`, found `h`")
         Err("expected digits and CR LF as a length, found `x\\r` before the newline")
-        Err("array has 9 parts, more than the limit of 8")
+        Err("array has 9 parts, expected 1")
+        Err("array has 0 parts, expected 1")
+        Err("array has 2 parts, expected 1")
         Err("expected at most 7 digits and CR LF as a length, found no newline")
         Err("expected the type byte `$`, found `+`")
         Err("expected digits and CR LF as a length, found `-1\\r` before the newline")
@@ -86,14 +90,42 @@
     .assert_eq(&errors);
 }
 
+/// The separators of the fields of a reply.
+const FIELDS: Separators = Separators { field: ',', value: '=' };
+/// The separators of the figures of a load report.
+const FIGURES: Separators = Separators { field: ';', value: ':' };
+
+#[test]
+fn fields_are_found_by_their_exact_name_in_any_order() {
+    let fields = FieldList::parse("pages=2,page=1,use=util:0.61;queue:0", FIELDS).expect("well formed");
+    let load = FieldList::parse(fields.get("use").unwrap_or("none"), FIGURES).expect("well formed");
+    let found = ["page", "pages", "age", "-"].map(|name| fields.get(name));
+    let none = ["-", ""].map(|text| FieldList::parse(text, FIELDS).map(|list| list.get("use")));
+    expect![[r#"[Some("1"), Some("2"), None, None] Some("0.61") [Ok(None), Ok(None)]"#]]
+        .assert_eq(&format!("{found:?} {:?} {none:?}", load.get("util")));
+}
+
 #[test]
-fn fields_are_found_by_their_exact_name() {
-    let fields = "pages=2,page=1,use=util:0.61;queue:0";
-    let load = resp::field_value(fields, "use", (',', '=')).unwrap_or("none");
-    let found = ["page", "pages", "age", "-"].map(|name| resp::field_value(fields, name, (',', '=')));
-    let util = resp::field_value(load, "util", (';', ':'));
-    expect![[r#"[Some("1"), Some("2"), None, None] Some("0.61") None"#]]
-        .assert_eq(&format!("{found:?} {util:?} {:?}", resp::field_value("-", "use", (',', '='))));
+fn malformed_fields_are_rejected_with_their_error() {
+    let malformed =
+        ["pages", "=2", "pages=2,", "pages=2,,use=", "pages=2,pages=1", "p\u{1}ges=2", "pages=2\n", "-,-"];
+    let errors: String = malformed
+        .iter()
+        .map(|text| {
+            format!("{:?}\n", FieldList::parse(text, FIELDS).map(|_| ()).map_err(|error| error.to_string()))
+        })
+        .collect();
+    expect![[r#"
+        Err("expected a name, `=` and a value, found `pages`")
+        Err("expected a name, `=` and a value, found `=2`")
+        Err("expected a name, `=` and a value, found ``")
+        Err("expected a name, `=` and a value, found ``")
+        Err("found the field `pages` twice")
+        Err("found a control character in the field `p\\u{1}ges=2`")
+        Err("found a control character in the field `pages=2\\n`")
+        Err("expected a name, `=` and a value, found `-`")
+    "#]]
+    .assert_eq(&errors);
 }
 
 #[test]
--- a/crates/router/tests/digest/engines.rs
+++ b/crates/router/tests/digest/engines.rs
@@ -2,6 +2,7 @@
 
 use crate::scenario::Scenario;
 use crate::streams::{LimitedSink, ReceivedBytes, StreamEnd};
+use emberflow_peer_protocol::resp::take_array;
 use emberflow_router::dispatch::Dispatcher;
 use emberflow_router::engine_pool::Reachability;
 use emberflow_router::resp;
@@ -162,11 +163,7 @@
     /// Decodes all complete commands, and replies to those that engines answer at once.
     fn engine_handles_commands(&mut self, slot: Slot) {
         let Some(connection) = self.connections.get_mut(&slot) else { return };
-        while let Some(resp::Array { parts, length }) =
-            resp::parse_array(&connection.received).expect("the server sends RESP")
-        {
-            let texts: Vec<String> = parts.iter().map(|part| String::from_utf8_lossy(part).into()).collect();
-            connection.received.drain(..length);
+        while let Some(texts) = take_array(&mut connection.received).expect("the server sends RESP") {
             let (command, id) = (texts[0].as_str(), &texts[1]);
             self.recorder.count(format!("engine receives {command}"));
             match command {
--- a/crates/router/tests/digest/main.rs
+++ b/crates/router/tests/digest/main.rs
@@ -75,40 +75,40 @@
     let observed: String = observed.iter().map(|(kind, count)| format!("{kind}: {count}\n")).collect();
     let digest: String = digest.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
     expect![[r#"
-        attempts retried: 848
-        clients closed: 1693
-        complete lists: 462
-        connections closed: 7021
-        connections dialled: 8043
-        connections refused: 554
-        engine receives CLOSE: 139
-        engine receives DROP: 2925
-        engine receives GET: 8023
-        engine receives PAGE: 715
-        engine receives PING: 2866
-        engine sends DANCE: 30
-        engine sends FAULT: 296
-        engine sends HIT: 3662
-        engine sends INFO: 1263
-        engine sends LATE: 171
-        engine sends SHED: 530
-        error -32000: 1554
-        error -32011: 12322
-        error -32600: 1084
-        error -32601: 198
-        error -32602: 725
-        error -32700: 447
-        graceful shutdowns: 90
-        list changes: 523
-        lists refused: 40
-        processes ended: 20
-        reloads: 200
-        requests sent: 13861
-        results: 2320
-        retry-after named: 5969
-        status: 786
-        wait announced: 2076
-        a0b8ceacbaf6df2dd0dc67fd0457141b8cdb2b0c339d0e856dc34afc36d5c806
+        attempts retried: 862
+        clients closed: 1698
+        complete lists: 463
+        connections closed: 7073
+        connections dialled: 8064
+        connections refused: 538
+        engine receives CLOSE: 102
+        engine receives DROP: 2965
+        engine receives GET: 8073
+        engine receives PAGE: 662
+        engine receives PING: 2934
+        engine sends DANCE: 33
+        engine sends FAULT: 305
+        engine sends HIT: 3661
+        engine sends INFO: 1275
+        engine sends LATE: 157
+        engine sends SHED: 536
+        error -32000: 1608
+        error -32011: 12479
+        error -32600: 1065
+        error -32601: 195
+        error -32602: 726
+        error -32700: 457
+        graceful shutdowns: 88
+        list changes: 512
+        lists refused: 38
+        processes ended: 19
+        reloads: 197
+        requests sent: 13895
+        results: 2332
+        retry-after named: 6083
+        status: 782
+        wait announced: 2075
+        7659ba779060ec9cf7ce0f0570a5261f07b43e201e8e263c0e2e2073e89d0fe7
     "#]]
     .assert_eq(&format!("{observed}{digest}\n"));
 }
--- a/crates/router/tests/sockets/requests.rs
+++ b/crates/router/tests/sockets/requests.rs
@@ -2,6 +2,7 @@
 
 use crate::harness::*;
 use emberflow_peer_protocol::engine::{EngineReply, Progress, UsedResources};
+use emberflow_peer_protocol::request_id;
 use expect_test::expect;
 use serde_json::json;
 use std::time::Duration;
@@ -167,6 +168,55 @@
     .assert_eq(&router.finish(&["engine_input_malformed", "attempts_broken", "requests_failed"]));
 }
 
+/// Returns an encoded reply whose array announces three parts in place of four.
+fn with_wrong_part_count(reply: EngineReply<'_>, id: u64) -> Vec<u8> {
+    let mut bytes = reply.encode(&request_id(id));
+    bytes[1] = b'3';
+    bytes
+}
+
+/// Guards against results that are served with none or half of their rows, because the array or the fields of a reply
+/// were spoilt.
+#[test]
+fn results_in_spoilt_replies_are_retried_if_idempotent_and_never_served_in_part() {
+    let (mut router, mut client, mut engine) = start_with_one_engine("spoilt-result", &ordinary_settings());
+    let one_page = EngineReply::Result { pages: 1, used: None, rows: ROWS.as_bytes() };
+    let second_page = EngineReply::Page { page: 1, rows: ROWS.as_bytes() };
+    for id in 1..=3 {
+        client.send_request(id, "lookup");
+        engine.next_command();
+        match id {
+            1 => engine.send_bytes(engine.connection_of(id), &with_wrong_part_count(one_page, id)),
+            2 => engine.send_raw_reply(id, "HIT", "p#\u{1}z~=2"),
+            _ => {
+                engine.send_first_page(id, 2, ROWS);
+                engine.next_command();
+                engine.send_bytes(engine.connection_of(id), &with_wrong_part_count(second_page, id));
+            }
+        }
+        router.record_commands(&mut engine, 2);
+        router.record_result(&mut client, &mut engine, id, ROWS);
+    }
+    client.send_request(4, "post");
+    engine.next_command();
+    engine.send_bytes(engine.connection_of(4), &with_wrong_part_count(one_page, 4));
+    router.record_answer(&mut client);
+    expect![[r#"
+        closed
+        GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":1,"result":{"data":"YQliCWMK"}}
+        closed
+        GET 0000000000000002 queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":2,"result":{"data":"YQliCWMK"}}
+        closed
+        GET 0000000000000003 queue=lookup,mem=120,prio=2 select 1
+        {"jsonrpc":"2.0","id":3,"result":{"data":"YQliCWMK"}}
+        {"error":{"code":-32000,"message":"given up: it may have run"},"id":4,"jsonrpc":"2.0"}
+        exit status Some(0): attempts_broken=4 engine_input_malformed=4 requests_failed=1
+    "#]]
+    .assert_eq(&router.finish(&["engine_input_malformed", "attempts_broken", "requests_failed"]));
+}
+
 #[test]
 fn truncated_and_missing_responses_are_detected_on_their_connection_and_retried() {
     let (mut router, mut client, mut engine) =
--- a/crates/router/tests/unit/engine_pool.rs
+++ b/crates/router/tests/unit/engine_pool.rs
@@ -10,6 +10,8 @@
 use std::io::{self, Cursor, Read, Write};
 use std::time::Duration;
 
+mod spoilt_replies;
+
 const REQUEST_ID: &str = "9b1f03aa5c7e2d41";
 const HEALTH_CHECK_ID: &str = "0";
 /// A timeout that is longer than any test.
