Check the size of engines' replies before they are stored, not after

Cause: a page was stored whatever its size, up to 64 kB a part and 256 pages, 16 MB for an attempt; the limit of a result, 48,000 bytes, was checked when the last page was there, after a copy of all. Nothing counted these bytes over all attempts.

Change: each part of a reply has its own limit (a page 6,000 bytes, by the protocol), checked when its length arrives; a result is checked with each page; the results of all attempts have an account (`byte_account.rs`) of a quarter of the memory, and the attempt whose page does not fit is cancelled, which counts against no engine; at most 16 pages are requested ahead; an input buffer holds 32 KiB, complete replies are removed before it is filled again, and a ring returns memory that its rest does not need. Why it works: what is held for an attempt is at most 48,000 bytes and one begun reply, and the sum is bounded.

Tests changed: two socket tests sent one page of 45,000 bytes, which the protocol forbids; they send seven of 6,000.

--- a/crates/model-checker/src/mutants.rs
+++ b/crates/model-checker/src/mutants.rs
@@ -234,8 +234,8 @@
     Mutant {
         name: "a result without its last pages",
         file: POOL_RESULT_PAGES,
-        from: "self.pages.iter().all(Option::is_some)",
-        to: "self.pages.iter().any(Option::is_some)",
+        from: "self.pages.len() == self.page_count",
+        to: "!self.pages.is_empty()",
     },
     Mutant {
         name: "a second answer restarts a result",
--- a/crates/model-checker/tests/random.rs
+++ b/crates/model-checker/tests/random.rs
@@ -124,6 +124,8 @@
 
 /// Number of parts of a reply.
 const REPLY_PARTS: usize = 4;
+/// Limit of the size of a part, which is longer than any generated one.
+const MAX_PART_BYTES: usize = 64 * 1024;
 /// Length of a frame's event number and kind, in bytes; the length field of the frame includes them.
 const FRAME_HEADER_BYTES: u32 = 9;
 /// Length of an engine's record in a frame, in bytes.
@@ -169,7 +171,7 @@
     fn replies_split_anywhere_are_parsed_alike(bytes in reply_like_bytes(), at in any::<usize>()) {
         let parse = |received: &[u8]| {
             let owned = |array: resp::Array<'_, REPLY_PARTS>| (array.parts.map(<[u8]>::to_vec), array.length);
-            resp::parse_array(received).map(|parsed| parsed.map(owned))
+            resp::parse_array(received, &[MAX_PART_BYTES; REPLY_PARTS]).map(|parsed| parsed.map(owned))
         };
         let (front, back) = bytes.split_at(at % (bytes.len() + 1));
         let single_bytes: Vec<&[u8]> = bytes.chunks(1).collect();
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -22,8 +22,8 @@
 const ENGINE_DESCRIPTORS_DIVISOR: usize = 3;
 /// Lingering connections of clients may use the descriptors divided by this number.
 const LINGERING_DESCRIPTORS_DIVISOR: usize = 12;
-/// Each of these may use the memory of the process divided by this number: the statements of open requests, the
-/// unwritten answers, and the unfinished lines of clients.
+/// Each of these may use the memory of the process divided by this number: the statements and keys of open requests,
+/// the results that are being collected, the unwritten answers, and the unfinished lines of clients.
 const BUFFER_MEMORY_DIVISOR: usize = 4;
 const SEED_RADIX: u32 = 16;
 
@@ -115,7 +115,8 @@
         self.max_buffered_bytes() / self.max_clients().max(1)
     }
 
-    /// Maximum bytes of the statements of all open requests. The same limit holds for all unwritten answers.
+    /// Maximum bytes of the statements and idempotency keys of all open requests. The same limit holds for all results
+    /// that are being collected, and for all unwritten answers.
     pub fn max_buffered_bytes(&self) -> usize {
         self.memory_bytes / BUFFER_MEMORY_DIVISOR
     }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -149,6 +149,7 @@
             config.max_engine_connections(),
         );
         engines.allows_concurrent_attempts = config.allows_concurrent_attempts;
+        engines.limit_result_bytes(config.max_buffered_bytes());
         Self {
             config,
             context,
@@ -160,11 +161,11 @@
         }
     }
 
-    /// Opens a request under the next id. Returns false if the limit of open requests or of statement bytes is reached.
+    /// Opens a request under the next id. Returns false if the limit of open requests or of their bytes is reached.
     pub fn open_request(&mut self, request: Request) -> bool {
-        let statement_bytes = self.requests.statement_bytes() + request.statement.len();
+        let stored_bytes = self.requests.stored_bytes() + request.stored_bytes();
         let is_table_full = self.requests.len() >= self.config.max_open_requests;
-        if is_table_full || statement_bytes > self.config.max_buffered_bytes() {
+        if is_table_full || stored_bytes > self.config.max_buffered_bytes() {
             self.context.counters.count("requests_over_the_limit");
             return false;
         }
@@ -256,14 +257,14 @@
     pub fn counters_line(&self) -> String {
         let PoolSize { engines, connections, attempts } = self.engines.size();
         let PoolBytes { input, output, results } = self.engines.bytes();
-        let statements = self.requests.statement_bytes();
+        let requests_bytes = self.requests.stored_bytes();
         let answers = self.clients.unsent_bytes();
         let clients = self.clients.table.len();
         let requests = self.requests.len();
         let timers = self.context.timers.len();
         format!(
             "{} held_clients={clients} held_requests={requests} held_engines={engines} \
-             held_connections={connections} held_attempts={attempts} held_statement_bytes={statements} \
+             held_connections={connections} held_attempts={attempts} held_request_bytes={requests_bytes} \
              held_result_bytes={results} held_answer_bytes={answers} held_engine_input_bytes={input} \
              held_engine_output_bytes={output} held_timers={timers}",
             self.context.counters
--- a/crates/router/src/engine_pool.rs
+++ b/crates/router/src/engine_pool.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod attempt_lifecycle;
+mod byte_account;
 mod commands;
 mod connection;
 mod connection_lifecycle;
@@ -25,10 +26,10 @@
 
 use crate::slots::{Slot, SlotMap};
 use attempt::Attempt;
+use byte_account::ByteAccount;
 use connection::Connection;
 use emberflow::{AttemptEnded, EngineId, ProgressUpdate, RequestId};
 use endpoints::Engine;
-use result_pages::ResultPages;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -77,12 +78,12 @@
     pub attempts: usize,
 }
 
-/// The bytes that a pool holds in its buffers.
+/// The bytes of memory that a pool holds in its buffers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PoolBytes {
-    /// Input of all connections that is not decoded yet.
+    /// Capacity of the buffers for the input of all connections.
     pub input: usize,
-    /// Output of all connections that is not written yet.
+    /// Capacity of the buffers for the output of all connections.
     pub output: usize,
     /// Pages of results of which other pages are still missing.
     pub results: usize,
@@ -109,6 +110,8 @@
     /// Time after which engines close an idle connection.
     idle_close: Duration,
     max_connections: usize,
+    /// The bytes of the results of all attempts in flight.
+    result_bytes: ByteAccount,
     /// Whether a request may be sent again while an engine may still be running its cancelled attempt.
     pub allows_concurrent_attempts: bool,
 }
@@ -136,10 +139,17 @@
             connect_timeout,
             idle_close,
             max_connections,
+            result_bytes: ByteAccount::with_limit(usize::MAX),
             allows_concurrent_attempts: true,
         }
     }
 
+    /// Limits the bytes of the results of all attempts in flight, which are unlimited in a new pool. Must be called
+    /// before the first attempt.
+    pub fn limit_result_bytes(&mut self, max_bytes: usize) {
+        self.result_bytes = ByteAccount::with_limit(max_bytes);
+    }
+
     /// Returns the number of engines, connections and attempts.
     pub fn size(&self) -> PoolSize {
         PoolSize {
@@ -151,13 +161,11 @@
 
     /// Returns the bytes in the buffers of connections and attempts.
     pub fn bytes(&self) -> PoolBytes {
-        let mut bytes = PoolBytes::default();
+        let mut bytes = PoolBytes { results: self.result_bytes.used(), ..PoolBytes::default() };
         for (_, connection) in self.connections.iter() {
-            bytes.input += connection.input.len();
-            bytes.output += connection.output.len();
+            bytes.input += connection.input.capacity();
+            bytes.output += connection.output.capacity();
         }
-        let results = self.attempts.iter().filter_map(|(_, attempt)| attempt.result.as_ref());
-        bytes.results = results.map(ResultPages::bytes).sum();
         bytes
     }
 
--- a/crates/router/src/engine_pool/attempt_lifecycle.rs
+++ b/crates/router/src/engine_pool/attempt_lifecycle.rs
@@ -179,6 +179,7 @@
         self.release_connection(attempt_slot, &attempt, context);
         let late_connection = late_connection(&attempt, outcome);
         let pages = attempt.result.as_ref().map_or(0, ResultPages::page_count);
+        self.result_bytes.release(attempt.result.as_ref().map_or(0, ResultPages::bytes));
         let (usage, reported_with_result) =
             attempt.result.map_or((None, None), |result| (result.usage, result.load_report));
         let ended = AttemptEnded {
--- a/crates/router/src/engine_pool/replies.rs
+++ b/crates/router/src/engine_pool/replies.rs
@@ -4,9 +4,9 @@
 use super::commands::EngineCommand;
 use super::connection::Reachability;
 use super::protocol_error::EngineProtocolError;
-use super::reply::{EngineReply, ReplyKind};
+use super::reply::{EngineReply, MAX_REPLY_BYTES, ReplyKind};
 use super::reply_fields::ReplyFields;
-use super::result_pages::ResultPages;
+use super::result_pages::{FIRST_PAGE, ResultPages};
 use super::{EnginePool, PoolEvent};
 use crate::context::Context;
 use crate::ring::FillOutcome;
@@ -15,9 +15,12 @@
 use emberflow::{AttemptOutcome, EngineId, LoadReport};
 use std::io::Read;
 
-/// Limit of the bytes that a connection's input buffer holds after reading, and therefore of the bytes that are read in
-/// one iteration of the event loop.
-const MAX_READ_BYTES_PER_ITERATION: usize = 256 * 1024;
+/// Limit of the bytes that a connection's input buffer holds. Complete replies are removed before it is filled again.
+const MAX_INPUT_BYTES: usize = 32 * 1024;
+// Otherwise a long reply would fill the buffer without being complete, and would never be handled.
+const _: () = assert!(MAX_REPLY_BYTES < MAX_INPUT_BYTES);
+/// Limit of how often a connection's input buffer is filled in one iteration of the event loop.
+const MAX_FILLS_PER_ITERATION: usize = 8;
 /// Ratio of the reply timeout to the connect timeout. A reply that has begun to arrive must be complete, and the next
 /// page of a result must arrive, within the reply timeout.
 const REPLY_TIMEOUT_RATIO: u32 = 2;
@@ -33,9 +36,28 @@
     /// Reads a limited number of bytes from a connection, and handles all complete replies. Returns whether there may
     /// be more input to read.
     pub fn read(&mut self, connection_slot: Slot, socket: &mut impl Read, context: &mut Context) -> bool {
+        let mut has_more = true;
+        for _ in 0..MAX_FILLS_PER_ITERATION {
+            has_more = self.fill_and_process(connection_slot, socket, context);
+            if !has_more {
+                break;
+            }
+        }
+        self.schedule_reply_timeout(connection_slot, context);
+        has_more
+    }
+
+    /// Fills a connection's input buffer once, and handles all complete replies. Returns whether there may be more input
+    /// to read.
+    fn fill_and_process(
+        &mut self,
+        connection_slot: Slot,
+        socket: &mut impl Read,
+        context: &mut Context,
+    ) -> bool {
         let Some(connection) = self.connections.get_mut(connection_slot) else { return false };
         let engine_id = connection.engine;
-        let filled = connection.input.fill(socket, MAX_READ_BYTES_PER_ITERATION);
+        let filled = connection.input.fill(socket, MAX_INPUT_BYTES);
         if let Err(rejected) = self.process_input(connection_slot, context) {
             context.counters.count("engine_input_malformed");
             self.log_malformed_input(engine_id, connection_slot, &rejected);
@@ -43,22 +65,14 @@
             self.close_connection(connection_slot, &reason, Reachability::Reachable, context);
             return false;
         }
-        match filled {
-            Ok(FillOutcome::WouldBlock | FillOutcome::LimitReached) => {}
-            Ok(FillOutcome::Closed) => {
-                self.close_connection(
-                    connection_slot,
-                    "engine closed the connection",
-                    Reachability::Reachable,
-                    context,
-                );
-            }
-            Err(ref error) => {
-                self.close_connection(connection_slot, &error.to_string(), Reachability::Reachable, context);
-            }
-        }
-        self.schedule_reply_timeout(connection_slot, context);
-        matches!(filled, Ok(FillOutcome::LimitReached)) && self.connections.get(connection_slot).is_some()
+        let reason = match filled {
+            Ok(FillOutcome::WouldBlock) => return false,
+            Ok(FillOutcome::LimitReached) => return self.connections.get(connection_slot).is_some(),
+            Ok(FillOutcome::Closed) => "engine closed the connection".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        self.close_connection(connection_slot, &reason, Reachability::Reachable, context);
+        false
     }
 
     /// Logs rejected input. All attempts on the connection end with it.
@@ -190,7 +204,7 @@
         }
     }
 
-    /// Stores the first page of a result, and requests the further pages. Ignores a copy of the first page.
+    /// Stores the first page of a result, and requests further pages. Ignores a copy of the first page.
     fn handle_result(
         &mut self,
         attempt_slot: Slot,
@@ -206,13 +220,8 @@
             context.counters.count("engine_answers_repeated");
             return Ok(());
         }
-        let usage = fields.usage()?;
-        attempt.result = Some(ResultPages::new(body, pages, usage, load_report)?);
-        let id = attempt.request_name.as_str();
-        let page_requests: Vec<Vec<u8>> =
-            (1..pages).map(|page| EngineCommand::Page { id, page }.encode()).collect();
-        self.append_message(attempt_slot, &page_requests.concat(), context);
-        self.end_if_result_complete(attempt_slot, context)
+        attempt.result = Some(ResultPages::new(pages, fields.usage()?, load_report));
+        self.store_page(attempt_slot, FIRST_PAGE, body, context)
     }
 
     /// Stores a further page of a result. Ignores a copy of a page, and a page that was not requested.
@@ -223,14 +232,44 @@
         body: Vec<u8>,
         context: &mut Context,
     ) -> Result<(), EngineProtocolError> {
-        let Some(attempt) = self.attempts.get_mut(attempt_slot) else { return Ok(()) };
+        let Some(attempt) = self.attempts.get(attempt_slot) else { return Ok(()) };
         let page = fields.page_number()?;
-        let is_new = attempt.result.as_mut().map_or(Ok(false), |result| result.add(page, body))?;
-        if !is_new {
+        let is_missing =
+            attempt.result.as_ref().map_or(Ok(false), |result| result.is_missing(page, &body))?;
+        if !is_missing {
             context.counters.count("engine_answers_repeated");
             return Ok(());
         }
-        self.end_if_result_complete(attempt_slot, context)
+        self.store_page(attempt_slot, page, body, context)
+    }
+
+    /// Adds a missing page to a result. Cancels the attempt if the results of all attempts would exceed their limit: the
+    /// router must not run out of memory, and the engine is not at fault.
+    fn store_page(
+        &mut self,
+        attempt_slot: Slot,
+        number: usize,
+        page: Vec<u8>,
+        context: &mut Context,
+    ) -> Result<(), EngineProtocolError> {
+        let Some(attempt) = self.attempts.get_mut(attempt_slot) else { return Ok(()) };
+        let Some(result) = attempt.result.as_mut() else { return Ok(()) };
+        result.check_missing_page(number, &page)?;
+        if !self.result_bytes.charge(page.len()) {
+            context.counters.count("results_over_the_limit");
+            self.cancel(attempt_slot, context);
+            return Ok(());
+        }
+        result.insert(number, page);
+        let id = attempt.request_name.as_str();
+        let requests = result.take_page_requests();
+        let commands: Vec<Vec<u8>> =
+            requests.map(|requested| EngineCommand::Page { id, page: requested }.encode()).collect();
+        if !commands.is_empty() {
+            self.append_message(attempt_slot, &commands.concat(), context);
+        }
+        self.end_if_result_complete(attempt_slot, context);
+        Ok(())
     }
 
     fn handle_progress(
@@ -249,23 +288,18 @@
 
     /// Ends an attempt once all pages of its result have arrived. Until then, limits the attempt's deadline to the time
     /// by which the next page must arrive.
-    fn end_if_result_complete(
-        &mut self,
-        attempt_slot: Slot,
-        context: &mut Context,
-    ) -> Result<(), EngineProtocolError> {
-        let Some(attempt) = self.attempts.get_mut(attempt_slot) else { return Ok(()) };
-        let Some(result) = attempt.result.as_mut() else { return Ok(()) };
+    fn end_if_result_complete(&mut self, attempt_slot: Slot, context: &mut Context) {
+        let Some(attempt) = self.attempts.get_mut(attempt_slot) else { return };
+        let Some(result) = &attempt.result else { return };
         if !result.is_complete() {
             let page_due = context.now() + self.connect_timeout * REPLY_TIMEOUT_RATIO;
             context.timers.clear(attempt.deadline, Timer::AttemptDeadline(attempt_slot));
             attempt.deadline = attempt.deadline.min(page_due);
             context.timers.set(attempt.deadline, Timer::AttemptDeadline(attempt_slot));
-            return Ok(());
+            return;
         }
-        let body = result.take_body()?;
+        let body = result.body();
         self.end_with_body(attempt_slot, AttemptOutcome::Succeeded, Some(body), None, context);
-        Ok(())
     }
 }
 
--- a/crates/router/src/engine_pool/reply.rs
+++ b/crates/router/src/engine_pool/reply.rs
@@ -4,6 +4,19 @@
 use super::reply_fields::EncodedFields;
 use crate::resp::{self, Array};
 
+/// Limit of the size of a reply's id. Those of requests have 16 bytes.
+const MAX_ID_BYTES: usize = 256;
+/// Limit of the size of a reply's type.
+const MAX_TYPE_BYTES: usize = 64;
+/// Limit of the size of a reply's fields.
+const MAX_FIELDS_BYTES: usize = 4096;
+/// Limit of the size of a page of a result, by the protocol.
+const MAX_PAGE_BYTES: usize = 6_000;
+/// The limits of the parts of a reply, in their order.
+const MAX_PART_BYTES: [usize; 4] = [MAX_ID_BYTES, MAX_TYPE_BYTES, MAX_FIELDS_BYTES, MAX_PAGE_BYTES];
+/// Largest number of bytes of an encoded reply.
+pub(super) const MAX_REPLY_BYTES: usize = resp::max_array_bytes(&MAX_PART_BYTES);
+
 /// The type of a reply.
 #[derive(Debug, PartialEq)]
 pub(super) enum ReplyKind {
@@ -52,10 +65,12 @@
     /// reply is complete.
     ///
     /// # Errors
-    /// Fails unless the bytes are the beginning of an array of exactly an id, a type, fields and a body. With any other
-    /// number of parts, the limits of the reply and of the next one are unknown, and its body may be missing.
+    /// Fails unless the bytes are the beginning of an array of exactly an id, a type, fields and a body, each within its
+    /// limit. With any other number of parts, it is unknown where the reply ends, and its body may be missing.
     pub fn decode(bytes: &[u8]) -> Result<Option<(Self, usize)>, EngineProtocolError> {
-        let Some(Array { parts, length }) = resp::parse_array(bytes)? else { return Ok(None) };
+        let Some(Array { parts, length }) = resp::parse_array(bytes, &MAX_PART_BYTES)? else {
+            return Ok(None);
+        };
         let [id, kind, fields, body] = parts;
         let reply = Self {
             id: decode_text(id, "id")?,
--- a/crates/router/src/request_table.rs
+++ b/crates/router/src/request_table.rs
@@ -48,6 +48,11 @@
             late_connections: Vec::new(),
         }
     }
+
+    /// Returns the size of the parts of the request whose length the client chooses, in bytes.
+    pub fn stored_bytes(&self) -> usize {
+        self.statement.len() + self.idempotency_key.as_ref().map_or(0, String::len)
+    }
 }
 
 /// The open requests, by the scheduler's ids.
@@ -58,8 +63,8 @@
     names: BTreeSet<String>,
     /// The id that [`Self::insert`] gives to the next request. Ids ascend, and wrap around after the largest.
     pub next_id: RequestId,
-    /// Bytes of the statements of all open requests.
-    statement_bytes: usize,
+    /// Bytes of the statements and idempotency keys of all open requests.
+    stored_bytes: usize,
 }
 
 impl RequestTable {
@@ -83,9 +88,9 @@
         self.table.is_empty()
     }
 
-    /// Returns the total size of the statements of all open requests, in bytes.
-    pub fn statement_bytes(&self) -> usize {
-        self.statement_bytes
+    /// Returns the total size of the statements and idempotency keys of all open requests, in bytes.
+    pub fn stored_bytes(&self) -> usize {
+        self.stored_bytes
     }
 
     /// Whether a request with this name is open.
@@ -101,7 +106,7 @@
     /// Adds a request under the next id.
     pub fn insert(&mut self, request: Request) {
         self.names.insert(request.name.clone());
-        self.statement_bytes += request.statement.len();
+        self.stored_bytes += request.stored_bytes();
         self.slots.insert(self.next_id, self.table.insert(request));
         self.next_id = RequestId(self.next_id.0.wrapping_add(1));
     }
@@ -110,7 +115,7 @@
     pub fn remove(&mut self, id: RequestId) -> Option<Request> {
         let slot = self.slots.remove(&id)?;
         let request = self.table.remove(slot)?;
-        self.statement_bytes -= request.statement.len();
+        self.stored_bytes -= request.stored_bytes();
         self.names.remove(&request.name);
         Some(request)
     }
--- a/crates/router/src/resp.rs
+++ b/crates/router/src/resp.rs
@@ -7,10 +7,10 @@
 const ARRAY_TYPE: u8 = b'*';
 /// First byte of a part.
 const PART_TYPE: u8 = b'$';
-/// Limit of the size of a part.
-const MAX_PART_BYTES: usize = 64 * 1024;
 /// Limit of the number of digits of a length.
 const MAX_LENGTH_DIGITS: usize = 7;
+/// Largest number of bytes of an encoded length, with its type byte and terminator.
+const MAX_ENCODED_LENGTH_BYTES: usize = 1 + MAX_LENGTH_DIGITS + TERMINATOR.len();
 /// The bytes after each length and each part.
 const TERMINATOR: &[u8] = b"\r\n";
 /// Number of tabs in each row of a result. Tabs separate the three columns.
@@ -27,9 +27,14 @@
         /// The number that the protocol requires.
         expected: usize,
     },
-    /// A part announces this number of bytes, which exceeds the limit.
-    #[error("part has {0} bytes, more than the limit of {max}", max = MAX_PART_BYTES)]
-    PartTooLong(usize),
+    /// A part announces a length that exceeds its limit.
+    #[error("part has {length} bytes, more than the limit of {limit}")]
+    PartTooLong {
+        /// The announced number of bytes.
+        length: usize,
+        /// The largest number of bytes of the part.
+        limit: usize,
+    },
     /// The announced number of bytes of a part is followed by these bytes.
     #[error("expected CR LF after a part of {length} bytes, found `{}`", .found.escape_ascii())]
     UnterminatedPart {
@@ -63,19 +68,35 @@
     pub length: usize,
 }
 
-/// Decodes the first array in `bytes`, which must have exactly `N` parts. Returns `None` until the array is complete.
+/// Returns the largest number of bytes of an encoded array whose parts are within these limits.
+pub const fn max_array_bytes<const N: usize>(max_part_bytes: &[usize; N]) -> usize {
+    let mut bytes = MAX_ENCODED_LENGTH_BYTES;
+    let mut index = 0;
+    while index < N {
+        bytes += MAX_ENCODED_LENGTH_BYTES + max_part_bytes[index] + TERMINATOR.len();
+        index += 1;
+    }
+    bytes
+}
+
+/// Decodes the first array in `bytes`, which must have exactly `N` parts of at most `max_part_bytes`. Returns `None`
+/// until the array is complete.
 ///
 /// # Errors
-/// Fails if the bytes are not the beginning of an array of `N` parts, or if a part exceeds the limit.
-pub fn parse_array<const N: usize>(bytes: &[u8]) -> Result<Option<Array<'_, N>>, RespError> {
+/// Fails if the bytes are not the beginning of an array of `N` parts. A part that exceeds its limit is an error as soon
+/// as its length has arrived, so that the caller never stores more than [`max_array_bytes`] for one array.
+pub fn parse_array<'a, const N: usize>(
+    bytes: &'a [u8],
+    max_part_bytes: &[usize; N],
+) -> Result<Option<Array<'a, N>>, RespError> {
     let Some(header) = parse_length(bytes, ARRAY_TYPE)? else { return Ok(None) };
     if header.value != N {
         return Err(RespError::PartCount { found: header.value, expected: N });
     }
     let mut length = header.encoded_bytes;
     let mut parts = [[].as_slice(); N];
-    for part in &mut parts {
-        let Some((content, encoded_bytes)) = parse_part(&bytes[length..])? else { return Ok(None) };
+    for (part, limit) in parts.iter_mut().zip(max_part_bytes) {
+        let Some((content, encoded_bytes)) = parse_part(&bytes[length..], *limit)? else { return Ok(None) };
         *part = content;
         length += encoded_bytes;
     }
@@ -84,10 +105,10 @@
 
 /// Decodes the part at the front of `bytes`, and returns its content with its encoded length in bytes. Returns `None`
 /// until the part is complete.
-fn parse_part(bytes: &[u8]) -> Result<Option<(&[u8], usize)>, RespError> {
+fn parse_part(bytes: &[u8], limit: usize) -> Result<Option<(&[u8], usize)>, RespError> {
     let Some(Length { value, encoded_bytes }) = parse_length(bytes, PART_TYPE)? else { return Ok(None) };
-    if value > MAX_PART_BYTES {
-        return Err(RespError::PartTooLong(value));
+    if value > limit {
+        return Err(RespError::PartTooLong { length: value, limit });
     }
     let end = encoded_bytes + value + TERMINATOR.len();
     let Some(part) = bytes.get(encoded_bytes..end) else { return Ok(None) };
--- a/crates/router/src/ring.rs
+++ b/crates/router/src/ring.rs
@@ -8,6 +8,9 @@
 /// Limit of the capacity that an empty buffer retains. Each of the router's many buffers may grow for a large answer,
 /// and would otherwise keep that memory.
 const MAX_EMPTY_CAPACITY: usize = 4 * 1024;
+/// Capacity as a multiple of the content above which a buffer returns memory, so that the rest of a large input does
+/// not hold the memory of the whole.
+const MAX_CAPACITY_RATIO: usize = 4;
 
 /// A queue of bytes that were received and not yet consumed, or that are not sent yet.
 #[derive(Clone, Default)]
@@ -39,6 +42,11 @@
         self.bytes.is_empty()
     }
 
+    /// Returns the number of bytes of memory that the buffer holds.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Returns the offset of the buffer's end in the stream of all bytes.
     pub fn end_offset(&self) -> u64 {
         self.front_offset + self.bytes.len() as u64
@@ -63,8 +71,14 @@
     pub fn consume(&mut self, count: usize) {
         self.bytes.drain(..count);
         self.front_offset += count as u64;
-        if self.bytes.is_empty() && self.bytes.capacity() > MAX_EMPTY_CAPACITY {
-            self.bytes = VecDeque::new();
+        self.release_capacity();
+    }
+
+    /// Returns the memory that is far larger than the content needs.
+    fn release_capacity(&mut self) {
+        let needed = self.bytes.len().max(MAX_EMPTY_CAPACITY / MAX_CAPACITY_RATIO);
+        if self.bytes.capacity() > needed * MAX_CAPACITY_RATIO {
+            self.bytes.shrink_to(self.bytes.len());
         }
     }
 
--- a/crates/router/tests/codecs.rs
+++ b/crates/router/tests/codecs.rs
@@ -5,6 +5,9 @@
 use emberflow_router::{discovery, jsonrpc, resp, ring::RingBuffer, statement};
 use expect_test::expect;
 
+/// Limit of the size of a part of an array.
+const MAX_PART_BYTES: usize = 64 * 1024;
+
 /// Returns the messages that `parse` decodes from the input. Checks that `parse` decodes the same messages from input
 /// that arrives in two parts, for every split.
 fn decode_with_every_split(input: &[u8], parse: impl Fn(&mut RingBuffer) -> Option<String>) -> String {
@@ -40,7 +43,7 @@
     let parse = |buffer: &mut RingBuffer| {
         let (line, length) = {
             let resp::Array { parts, length } =
-                resp::parse_array::<4>(buffer.contents()).expect("well formed")?;
+                resp::parse_array(buffer.contents(), &[MAX_PART_BYTES; 4]).expect("well formed")?;
             let parts: Vec<_> = parts.iter().map(|part| part.escape_ascii().to_string()).collect();
             (parts.join(" | "), length)
         };
@@ -71,7 +74,10 @@
     let errors: String = malformed
         .iter()
         .map(|bytes| {
-            format!("{:?}\n", resp::parse_array::<1>(bytes).map(|_| ()).map_err(|error| error.to_string()))
+            format!(
+                "{:?}\n",
+                resp::parse_array(bytes, &[MAX_PART_BYTES]).map(|_| ()).map_err(|error| error.to_string())
+            )
         })
         .collect();
     expect![[r#"
--- a/crates/router/tests/digest/main.rs
+++ b/crates/router/tests/digest/main.rs
@@ -75,40 +75,40 @@
     let observed: String = observed.iter().map(|(kind, count)| format!("{kind}: {count}\n")).collect();
     let digest: String = digest.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
     expect![[r#"
-        attempts retried: 862
-        clients closed: 1698
-        complete lists: 463
-        connections closed: 7073
-        connections dialled: 8064
-        connections refused: 538
-        engine receives CLOSE: 102
-        engine receives DROP: 2965
-        engine receives GET: 8073
-        engine receives PAGE: 662
-        engine receives PING: 2934
-        engine sends DANCE: 33
-        engine sends FAULT: 305
-        engine sends HIT: 3661
-        engine sends INFO: 1275
-        engine sends LATE: 157
-        engine sends SHED: 536
-        error -32000: 1608
-        error -32011: 12479
-        error -32600: 1065
-        error -32601: 195
+        attempts retried: 900
+        clients closed: 1709
+        complete lists: 475
+        connections closed: 7142
+        connections dialled: 8112
+        connections refused: 535
+        engine receives CLOSE: 98
+        engine receives DROP: 2984
+        engine receives GET: 8140
+        engine receives PAGE: 618
+        engine receives PING: 2936
+        engine sends DANCE: 35
+        engine sends FAULT: 298
+        engine sends HIT: 3639
+        engine sends INFO: 1225
+        engine sends LATE: 162
+        engine sends SHED: 545
+        error -32000: 1620
+        error -32011: 12420
+        error -32600: 1043
+        error -32601: 198
         error -32602: 726
-        error -32700: 457
-        graceful shutdowns: 88
-        list changes: 512
-        lists refused: 38
-        processes ended: 19
-        reloads: 197
-        requests sent: 13895
-        results: 2332
-        retry-after named: 6083
-        status: 782
-        wait announced: 2075
-        7659ba779060ec9cf7ce0f0570a5261f07b43e201e8e263c0e2e2073e89d0fe7
+        error -32700: 427
+        graceful shutdowns: 95
+        list changes: 510
+        lists refused: 37
+        processes ended: 21
+        reloads: 190
+        requests sent: 13856
+        results: 2328
+        retry-after named: 6010
+        status: 762
+        wait announced: 1990
+        3654013d3269367755b091e35843b4b0d2b55797cad86c5ad77420dabb52f292
     "#]]
     .assert_eq(&format!("{observed}{digest}\n"));
 }
--- a/crates/router/tests/sockets/clients.rs
+++ b/crates/router/tests/sockets/clients.rs
@@ -10,6 +10,10 @@
 const LINES_READ_PER_ITERATION: usize = 64;
 /// Limit of the length of a client's line in bytes, under the resource limits of these tests.
 const MAX_LINE_BYTES: usize = 8192;
+/// Number of rows of a page of the largest size, with six bytes a row.
+const LARGE_PAGE_ROWS: usize = 1000;
+/// Number of pages of a result that is nearly of the largest size.
+const LARGE_RESULT_PAGES: u32 = 7;
 
 #[test]
 fn malformed_client_input_gets_the_standard_errors_and_is_not_accepted() {
@@ -159,15 +163,16 @@
     }
 }
 
-/// Sends requests from 1 on and answers each, until the router leaves a request unread because the client reads no
-/// answer. Returns the number of answered requests, which is less than `max_requests`.
+/// Sends requests from 1 on and answers each with a result of [`LARGE_RESULT_PAGES`], until the router leaves a request
+/// unread because the client reads no answer. Returns the number of answered requests, which is less than
+/// `max_requests`.
 fn send_requests_until_unread(
     router: &RouterHarness,
     client: &mut TestClient,
     engine: &mut TestEngine,
-    rows: &str,
     max_requests: u64,
 ) -> u64 {
+    let page = ROWS.repeat(LARGE_PAGE_ROWS);
     let mut answered = 0;
     loop {
         let request = answered + 1;
@@ -176,7 +181,7 @@
             return answered;
         }
         engine.next_command();
-        engine.send_result(request, rows);
+        engine.send_pages(request, LARGE_RESULT_PAGES, &page);
         answered = request;
     }
 }
@@ -190,8 +195,7 @@
     let (mut router, mut client, mut engine) =
         start_one_engine_with_limits(limits, "cancelled-unread", &long_queueing_settings());
     connect_to_engine(&mut client, &mut engine, 2001..=2004);
-    let rows = ROWS.repeat(7500);
-    let unread_request = 1 + send_requests_until_unread(&router, &mut client, &mut engine, &rows, 500);
+    let unread_request = 1 + send_requests_until_unread(&router, &mut client, &mut engine, 500);
     router.record(format!("stops reading: {}", unread_request < 500));
     for request in [1002, 1001, 1003] {
         client.send_request_within(LONG_REQUEST_TIMEOUT, request, "lookup");
--- a/crates/router/tests/sockets/harness/engine.rs
+++ b/crates/router/tests/sockets/harness/engine.rs
@@ -57,7 +57,8 @@
     words.collect::<Vec<_>>().join(" ")
 }
 
-fn parse_request(id: &str) -> u64 {
+/// Returns the request of an id.
+pub fn parse_request(id: &str) -> u64 {
     u64::from_str_radix(id, 16).expect("an id is a hexadecimal number")
 }
 
@@ -203,6 +204,15 @@
         self.send(request, EngineReply::Result { pages, used: None, rows: rows.as_bytes() });
     }
 
+    /// Sends a result of `pages` pages with the same rows, each further page after the router's next command.
+    pub fn send_pages(&mut self, request: u64, pages: u32, rows: &str) {
+        self.send_first_page(request, pages, rows);
+        for page in 1..pages {
+            self.next_command();
+            self.send_page(request, page, rows);
+        }
+    }
+
     /// Sends a further page of a result.
     pub fn send_page(&mut self, request: u64, page: u32, rows: &str) {
         self.send(request, EngineReply::Page { page, rows: rows.as_bytes() });
@@ -228,6 +238,14 @@
         self.send_bytes(connection, &reply.encode(&request_id(request)));
     }
 
+    /// Sends a reply as [`Self::send`] does, unless the router has closed the connection.
+    pub fn send_if_open(&mut self, request: u64, reply: EngineReply<'_>) {
+        let Some(mut socket) = self.connections[self.connection_of(request)].socket.as_ref() else { return };
+        socket.set_nonblocking(false).expect("a socket can be blocking");
+        // The router may close the connection at any time.
+        let _ = socket.write_all(&reply.encode(&request_id(request)));
+    }
+
     /// Sends a reply with a type and fields as text, so that they may be malformed.
     pub fn send_raw_reply(&mut self, request: u64, reply_type: &str, fields: &str) {
         let id = request_id(request);
--- a/crates/router/tests/sockets/harness/kernel.rs
+++ b/crates/router/tests/sockets/harness/kernel.rs
@@ -70,6 +70,15 @@
 }
 
 impl RouterHarness {
+    /// Returns the largest resident memory that the router's process has had, in kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.process.id());
+        let status = std::fs::read_to_string(path).expect("the process is there");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.expect("the kernel reports the peak").trim().trim_end_matches(" kB");
+        peak.parse().expect("the peak is a number of kB")
+    }
+
     /// Returns the state of the router's process as `/proc` names it: `T` for stopped, `S` for asleep.
     pub fn process_state(&self) -> char {
         let path = format!("/proc/{}/stat", self.process.id());
--- a/crates/router/tests/sockets/harness/mod.rs
+++ b/crates/router/tests/sockets/harness/mod.rs
@@ -27,7 +27,7 @@
     TestDiscovery, change_frame, draining_engine, empty_list_frame, engine_of_unknown_kind, ready_engine,
     removed_engine, restarted_engine,
 };
-pub use engine::{ROWS, TestEngine};
+pub use engine::{ROWS, TestEngine, parse_request};
 pub use fixtures::{
     serve_first_request, serve_request, start_one_engine_with_limits, start_one_engine_with_operator_file,
     start_with_one_engine, start_with_two_engines, with_client_and_engine,
--- a/crates/router/tests/sockets/harness/process.rs
+++ b/crates/router/tests/sockets/harness/process.rs
@@ -26,6 +26,9 @@
     pub transcript: String,
 }
 
+/// The log level of a router that logs only errors, its start and its counters.
+const SHORT_LOG: &str = "error,emberflow_router::event_loop=info";
+
 /// The options with which a router is started.
 struct StartOptions<'a> {
     log_level: &'a str,
@@ -95,6 +98,18 @@
         Self::start_with_options(StartOptions { log_level: "debug", ..options })
     }
 
+    /// Starts a router that logs only its start and its counters. A test in which it would log thousands of lines needs
+    /// this, since nothing reads the log meanwhile, and the router waits once the pipe is full.
+    pub fn start_with_short_log(
+        limits: ResourceLimits,
+        name: &str,
+        engine_count: usize,
+        settings: &str,
+    ) -> Self {
+        let options = StartOptions::new(name, engine_count, settings);
+        Self::start_with_options(StartOptions { log_level: SHORT_LOG, limits, ..options })
+    }
+
     fn start_with_options(options: StartOptions<'_>) -> Self {
         claim_name(options.name);
         let host = next_loopback_address();
--- a/crates/router/tests/sockets/limits.rs
+++ b/crates/router/tests/sockets/limits.rs
@@ -52,11 +52,7 @@
     client.send_request_within(LONG_REQUEST_TIMEOUT, id, "lookup");
     while id < MORE_THAN_THE_KERNEL_BUFFERS && router.forwards_from(&client, &mut engine) {
         engine.next_command();
-        engine.send_first_page(id, PAGES, &page);
-        for number in 1..PAGES {
-            engine.next_command();
-            engine.send_page(id, number, &page);
-        }
+        engine.send_pages(id, PAGES, &page);
         id += 1;
         client.send_request_within(LONG_REQUEST_TIMEOUT, id, "lookup");
     }
--- a/crates/router/tests/sockets/main.rs
+++ b/crates/router/tests/sockets/main.rs
@@ -8,6 +8,7 @@
 mod engine_connections;
 mod harness;
 mod limits;
+mod memory;
 mod reload;
 mod requests;
 mod shutdown;
--- a/crates/router/tests/unit/engine_pool.rs
+++ b/crates/router/tests/unit/engine_pool.rs
@@ -10,6 +10,7 @@
 use std::io::{self, Cursor, Read, Write};
 use std::time::Duration;
 
+mod reply_limits;
 mod spoilt_replies;
 
 const REQUEST_ID: &str = "9b1f03aa5c7e2d41";
@@ -40,6 +41,13 @@
         Self { context, pool, attempt, connection, written: Vec::new() }
     }
 
+    /// Returns a pool whose attempt was written to its engine.
+    fn with_written_call() -> Self {
+        let mut fixture = Self::new(LONG_TIMEOUT, LONG_TIMEOUT);
+        fixture.establish();
+        fixture
+    }
+
     fn establish(&mut self) {
         self.pool.connection_established(self.connection, &mut self.context);
         self.write();
@@ -57,6 +65,13 @@
         self.pool.read(self.connection, &mut socket, &mut self.context);
     }
 
+    /// Returns a counter with its name; an empty text if nothing was counted.
+    fn counter(&self, name: &str) -> String {
+        let counters = self.context.counters.to_string();
+        let counter = counters.split(' ').find(|counter| counter.starts_with(&format!("{name}=")));
+        counter.unwrap_or_default().to_owned()
+    }
+
     /// Runs the check of the connection at a time. Returns whether the connection is still open.
     fn check_connection(&mut self, now: Duration) -> bool {
         self.context.now = now;
--- a/crates/router/tests/unit/spoilt_replies.rs
+++ b/crates/router/tests/unit/spoilt_replies.rs
@@ -1,6 +1,6 @@
 //! Tests of replies that an engine has spoilt, and of the forms of a reply that the protocol allows.
 
-use super::{Fixture, LONG_TIMEOUT, OpenSocket, REQUEST_ID};
+use super::{Fixture, OpenSocket, REQUEST_ID};
 use crate::engine_pool::PoolEvent;
 use emberflow_peer_protocol::resp::encode_array;
 use expect_test::expect;
@@ -21,13 +21,6 @@
 }
 
 impl Fixture {
-    /// Returns a pool whose attempt was written to its engine.
-    fn with_written_call() -> Self {
-        let mut fixture = Self::new(LONG_TIMEOUT, LONG_TIMEOUT);
-        fixture.establish();
-        fixture
-    }
-
     /// Delivers bytes of the engine to the pool, in one read.
     fn receive_bytes(&mut self, bytes: &[u8]) {
         let mut socket = OpenSocket(Cursor::new(bytes.to_vec()));
