--- a/crates/router/tests/unit/reply_limits.rs
+++ b/crates/router/tests/unit/reply_limits.rs
@@ -116,10 +116,10 @@
     fixture.written.clear();
     fixture.write();
     let is_discarded = String::from_utf8_lossy(&fixture.written).contains("CLOSE");
+    let counters = ["attempts_cancelled", "results_over_the_limit"].map(|name| fixture.counter(name));
+    expect![[r#"["6000 bytes of results, open true", "12000 bytes of results, open true", "12000 bytes of results, open true"] discarded true ["attempts_cancelled=1", "results_over_the_limit=1"]"#]].assert_eq(&format!("{held:?} discarded {is_discarded} {counters:?}"));
     for attempt in attempts {
         fixture.pool.cancel(attempt, &mut fixture.context);
     }
     assert_eq!(fixture.pool.bytes().results, 0);
-    let counters = ["attempts_cancelled", "results_over_the_limit"].map(|name| fixture.counter(name));
-    expect![[r#"["6000 bytes of results, open true", "12000 bytes of results, open true", "12000 bytes of results, open true"] discarded true ["attempts_cancelled=1", "results_over_the_limit=1"]"#]].assert_eq(&format!("{held:?} discarded {is_discarded} {counters:?}"));
 }
