Model checker: spoilt answers, the bytes of results, and mutants for both

Change: scenario "a connection's spoilt answers" (two attempts, two faults), invariant "bounded results" (two pages for each attempt in flight), "clean pool" counts the bytes of results too. Four mutants: an array of any length is an answer, a result without `pages` has one page, a page over its size is stored, bytes of ended results stay counted.

Not run: the long scenarios and the other mutants.

--- a/crates/model-checker/src/connection_model/apply.rs
+++ b/crates/model-checker/src/connection_model/apply.rs
@@ -1,7 +1,9 @@
 //! Applies transitions of the connection model. Checks the invariants for the ends of attempts that the pool reports and
 //! for the calls that arrive at the engine.
 
-use super::engine::{answer_bytes, is_fault, other_message_bytes, receive_commands, record_answer};
+use super::engine::{
+    answer_bytes, is_fault, is_spoilt, other_message_bytes, receive_commands, record_answer,
+};
 use super::scenario::{ConnectionScenario, EndpointChange, EngineMessage};
 use super::state::{
     AttemptRecord, Cause, ConnectionState, EngineSide, Event, FIRST_ENGINE, LateAnswer, REPLACEMENT,
@@ -47,6 +49,7 @@
         Transition::EngineSends { message: EngineMessage::Malformed | EngineMessage::SecondHalf, .. } => {
             Cause::Unspecified
         }
+        Transition::EngineSends { message, .. } if is_spoilt(message) => Cause::Unspecified,
         Transition::EngineSends { attempt, .. } => attempt.map_or(Cause::AnswerToNone, Cause::AnswerTo),
         _ => Cause::Unspecified,
     }
@@ -154,6 +157,8 @@
             record_answer(&mut state.attempts[attempt], message);
         }
         state.engines.read(connection, &mut ScriptedInput::bytes(bytes), &mut state.context);
+        let bytes_held = state.engines.bytes().results;
+        self.check(&Event::RepliesRead { bytes_held });
     }
 
     fn change_endpoint(&mut self, change: EndpointChange) {
--- a/crates/model-checker/src/connection_model/invariants.rs
+++ b/crates/model-checker/src/connection_model/invariants.rs
@@ -6,6 +6,11 @@
 use emberflow::AttemptOutcome;
 use emberflow_router::engine_pool::PoolSize;
 
+/// Largest size of a page, by the protocol.
+const MAX_PAGE_BYTES: usize = 6_000;
+/// Largest number of pages of a result in the scenarios.
+const MAX_PAGES: usize = 2;
+
 /// All invariants of the connection model.
 pub const INVARIANTS: &[Invariant<ConnectionScenario>] = &[
     Invariant {
@@ -33,6 +38,11 @@
         description: "a well-formed answer ends only the attempt that it answers",
         is_violated: ends_another_attempt,
     },
+    Invariant {
+        name: "bounded results",
+        description: "the pool holds at most two pages of the protocol's size for each attempt in flight",
+        is_violated: holds_too_much,
+    },
     Invariant {
         name: "no call after a drain",
         description: "the router does not begin a call to an engine that was reported as draining",
@@ -40,7 +50,7 @@
     },
     Invariant {
         name: "clean pool",
-        description: "at the end no attempt, connection or timer remains",
+        description: "at the end no attempt, connection, timer or byte of a result remains",
         is_violated: retains_state_at_end,
     },
 ];
@@ -51,7 +61,7 @@
         Event::AttemptEnds { attempt, .. } => state.attempts[*attempt].outcome.is_some(),
         Event::Terminal => open.next().is_some(),
         Event::TimePasses { to } => open.any(|attempt| attempt.deadline < *to),
-        Event::CallArrives { .. } | Event::CallBegins => false,
+        Event::CallArrives { .. } | Event::CallBegins | Event::RepliesRead { .. } => false,
     }
 }
 
@@ -85,6 +95,12 @@
     }
 }
 
+fn holds_too_much(_: &ConnectionScenario, state: &ConnectionState, event: &Event) -> bool {
+    let Event::RepliesRead { bytes_held } = event else { return false };
+    let in_flight = state.attempts.iter().filter(|attempt| attempt.outcome.is_none()).count();
+    *bytes_held > in_flight * MAX_PAGES * MAX_PAGE_BYTES
+}
+
 fn begins_call_after_drain(_: &ConnectionScenario, state: &ConnectionState, event: &Event) -> bool {
     matches!(event, Event::CallBegins) && !state.engine_is_ready
 }
@@ -92,5 +108,5 @@
 fn retains_state_at_end(_: &ConnectionScenario, state: &ConnectionState, event: &Event) -> bool {
     let PoolSize { connections, attempts, .. } = state.engines.size();
     let remaining = connections + attempts + state.context.timers.len() + state.engine_sides.len();
-    matches!(event, Event::Terminal) && remaining > 0
+    matches!(event, Event::Terminal) && (remaining > 0 || state.engines.bytes().results > 0)
 }
--- a/crates/model-checker/src/connection_model/scenario.rs
+++ b/crates/model-checker/src/connection_model/scenario.rs
@@ -25,6 +25,13 @@
     SecondHalf,
     /// Bytes that are not a message; the engine can send nothing after them on the connection.
     Malformed,
+    /// A result of one page whose array announces three parts in place of four; the engine sends nothing after it.
+    ShortArray,
+    /// The first page of a result with two pages, with noise in place of the field that states their number; the engine
+    /// sends nothing after it.
+    NoisyFields,
+    /// The first page of a result with two pages, larger than the protocol allows; the engine sends nothing after it.
+    LargeFirstPage,
     /// The answer to a ping.
     Pong,
 }
--- a/crates/model-checker/src/connection_model/scenarios.rs
+++ b/crates/model-checker/src/connection_model/scenarios.rs
@@ -44,6 +44,22 @@
         max_faults: 2,
         ..ConnectionScenario::BASE
     },
+    ConnectionScenario {
+        name: "a connection's spoilt answers",
+        description: "one request with two attempts and two faults: answers with a wrong length, noise or a page over its size, and resets",
+        messages: &[
+            EngineMessage::Result,
+            EngineMessage::FirstOfTwoPages,
+            EngineMessage::SecondPage,
+            EngineMessage::Failed,
+            EngineMessage::Pong,
+            EngineMessage::ShortArray,
+            EngineMessage::NoisyFields,
+            EngineMessage::LargeFirstPage,
+        ],
+        max_faults: 2,
+        ..ConnectionScenario::BASE
+    },
     ConnectionScenario {
         name: "a shared connection",
         description: "two requests on one connection, cancellations and one fault",
--- a/crates/model-checker/src/connection_model/state.rs
+++ b/crates/model-checker/src/connection_model/state.rs
@@ -42,6 +42,8 @@
     CallArrives { attempt: usize },
     /// The pool writes the first bytes of a call.
     CallBegins,
+    /// The pool has read an engine's message, and holds this number of bytes of results.
+    RepliesRead { bytes_held: usize },
     /// The clock advances to `to`.
     TimePasses { to: Duration },
     /// The run ends, because no transition is enabled.
@@ -170,7 +172,8 @@
 
     /// Returns events that a faulty pool could emit in this state, to find the invariants that the state exercises.
     pub fn hypothetical_events(&self) -> Vec<Event> {
-        let mut events = vec![Event::CallBegins, Event::Terminal];
+        let mut events =
+            vec![Event::CallBegins, Event::Terminal, Event::RepliesRead { bytes_held: usize::MAX }];
         for attempt in 0..self.attempts.len() {
             let ends = |outcome, body: Option<&str>, cause| {
                 let body = body.map(|body| body.as_bytes().to_vec());
--- a/crates/model-checker/src/connection_model/transition.rs
+++ b/crates/model-checker/src/connection_model/transition.rs
@@ -121,7 +121,10 @@
     if record.pages.is_none() {
         messages.extend([EngineMessage::Result, EngineMessage::FirstOfTwoPages]);
         messages.extend([EngineMessage::Overloaded, EngineMessage::Failed]);
-        messages.extend(may_fail.then_some(EngineMessage::FirstHalf));
+        if may_fail {
+            messages.extend([EngineMessage::FirstHalf, EngineMessage::ShortArray]);
+            messages.extend([EngineMessage::NoisyFields, EngineMessage::LargeFirstPage]);
+        }
         messages.extend((!record.has_progress_update).then_some(EngineMessage::ProgressUpdate));
     }
     if side.requested_pages.contains(&attempt) {
--- a/crates/model-checker/src/mutants.rs
+++ b/crates/model-checker/src/mutants.rs
@@ -26,6 +26,7 @@
 const RECORDING: &str = "src/state/recording.rs";
 const REQUEST_STATE: &str = "src/state/request.rs";
 
+const RESP: &str = "crates/router/src/resp.rs";
 const DISPATCH: &str = "crates/router/src/dispatch.rs";
 const REQUEST_TABLE: &str = "crates/router/src/request_table.rs";
 const SERVER_CLIENTS: &str = "crates/router/src/server/clients.rs";
@@ -44,6 +45,8 @@
 const POOL_CONNECTION: &str = "crates/router/src/engine_pool/connection_lifecycle.rs";
 const POOL_ENDPOINTS: &str = "crates/router/src/engine_pool/endpoints.rs";
 const POOL_REPLIES: &str = "crates/router/src/engine_pool/replies.rs";
+const POOL_REPLY: &str = "crates/router/src/engine_pool/reply.rs";
+const POOL_REPLY_FIELDS: &str = "crates/router/src/engine_pool/reply_fields.rs";
 const POOL_RESULT_PAGES: &str = "crates/router/src/engine_pool/result_pages.rs";
 
 /// Returns a mutant of the reader of the discovery connection.
@@ -237,6 +240,30 @@
         from: "self.pages.len() == self.page_count",
         to: "!self.pages.is_empty()",
     },
+    Mutant {
+        name: "an array of any length is an answer",
+        file: RESP,
+        from: "    if header.value != N {\n        return Err(RespError::PartCount { found: header.value, expected: N });\n    }\n    let mut length = header.encoded_bytes;\n    let mut parts = [[].as_slice(); N];\n    for (part, limit) in parts.iter_mut().zip(max_part_bytes) {",
+        to: "    let mut length = header.encoded_bytes;\n    let mut parts = [[].as_slice(); N];\n    for (part, limit) in parts.iter_mut().zip(max_part_bytes).take(header.value) {",
+    },
+    Mutant {
+        name: "a result without `pages` has one page",
+        file: POOL_REPLY_FIELDS,
+        from: "self.whole_number(\"pages\")?.ok_or(EngineProtocolError::NoPageCount)?",
+        to: "self.whole_number(\"pages\")?.unwrap_or(1)",
+    },
+    Mutant {
+        name: "a page over its size is stored",
+        file: POOL_REPLY,
+        from: "const MAX_PAGE_BYTES: usize = 6_000;",
+        to: "const MAX_PAGE_BYTES: usize = 20_000;",
+    },
+    Mutant {
+        name: "bytes of ended results stay counted",
+        file: POOL_ATTEMPT,
+        from: "self.result_bytes.release(attempt.result.as_ref().map_or(0, ResultPages::bytes));",
+        to: "",
+    },
     Mutant {
         name: "a second answer restarts a result",
         file: POOL_REPLIES,
--- a/crates/model-checker/src/mutants/runner.rs
+++ b/crates/model-checker/src/mutants/runner.rs
@@ -1,6 +1,6 @@
 //! Makes each mutant in a copy of the repository, builds the model checker there and runs it.
 
-use super::{DISCOVERY, ENGINE_POOL, MUTANTS, Mutant};
+use super::{DISCOVERY, ENGINE_POOL, MUTANTS, Mutant, RESP};
 use crate::command::VIOLATION_PREFIX;
 use crate::former_names::current_mutant_name;
 use crate::{connection_model, discovery_model, queue_model, router_model};
@@ -156,7 +156,7 @@
         }
         DISCOVERY => discovery_model::scenario::SCENARIOS.iter().map(|scenario| scenario.name).collect(),
         file if file.starts_with("src/") => vec!["--short"],
-        file if file.starts_with(ENGINE_POOL) => connections.chain(router).collect(),
+        file if file.starts_with(ENGINE_POOL) || file == RESP => connections.chain(router).collect(),
         _ => router.collect(),
     }
 }
--- a/crates/model-checker/tests/walk.rs
+++ b/crates/model-checker/tests/walk.rs
@@ -75,6 +75,11 @@
     assert_holds("a connection's faults");
 }
 
+#[test]
+fn answers_are_spoilt_in_their_length_their_fields_or_their_size() {
+    assert_holds("a connection's spoilt answers");
+}
+
 #[test]
 fn calls_are_blocked_on_their_connection_when_the_engine_drains() {
     assert_holds("a narrow connection");
