Soak: engines that spoil results of several pages; answers are checked against what was made

Change: fault `spoiling`: results of three pages, every second one spoilt in turn (wrong array length of a first or further page, noise in the fields, a body announced too short or as 3 GB, 256 pages of ten times their size). A served answer must be all rows, in order, of a result that an engine has made.

--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -318,8 +318,11 @@
     request.answers.push(Answer { at: now, kind });
 }
 
-/// Whether the rows are the result of one of the request's attempts, from the engine of that attempt.
+/// Whether the rows are all rows, in order, of the result that an engine has made for one of the request's attempts.
 fn is_result_of(request_id: &str, rows: &[u8], request: &RequestRecord) -> bool {
     let mut attempts = request.attempts.iter().enumerate();
-    attempts.any(|(index, attempt)| rows == result_rows(request_id, attempt.engine, index).as_bytes())
+    attempts.any(|(index, attempt)| {
+        let is_made = attempt.pages > 0;
+        is_made && rows == result_rows(request_id, attempt.engine, index, attempt.pages).as_bytes()
+    })
 }
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -2,6 +2,7 @@
 //! according to a small load model. It has at most one fault at a time.
 
 mod calls;
+mod results;
 
 use crate::connections::ConnectionTable;
 use crate::records::Records;
@@ -10,6 +11,7 @@
 pub use calls::{CallKey, EngineTimer};
 use mio::net::TcpListener;
 use mio::{Interest, Registry, Token};
+use results::PagedResult;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::BTreeMap;
 use std::io;
@@ -43,6 +45,8 @@
     Failing,
     /// Only the first half of each result is sent.
     Truncating,
+    /// Results have several pages, and half of them are spoilt.
+    Spoiling,
     /// Output is written a few bytes at a time.
     SmallWrites,
 }
@@ -58,6 +62,10 @@
     incarnation: u32,
     /// The running calls by request id.
     running: BTreeMap<String, RunningCall>,
+    /// Results of several pages that routers may still read, by request id.
+    paged_results: BTreeMap<String, PagedResult>,
+    /// Number of results that were made while the engine spoilt results.
+    results_made: usize,
     /// Indices of the engine's connections.
     connections: Vec<usize>,
 }
@@ -71,6 +79,8 @@
             fault: EngineFault::None,
             incarnation: 0,
             running: BTreeMap::new(),
+            paged_results: BTreeMap::new(),
+            results_made: 0,
             connections: Vec::new(),
         }
     }
--- a/crates/soak/src/engines/calls.rs
+++ b/crates/soak/src/engines/calls.rs
@@ -89,11 +89,12 @@
                 EngineCommand::Call(call) => self.start_call(connection, &call, arrived_at, now, records),
                 EngineCommand::Cancel { request_id } => self.cancel(connection, &request_id, now, records),
                 EngineCommand::Ping { tag } => self.send(connection, &tag, EngineReply::Pong),
-                // Results have one page, and the load model has no priorities.
-                EngineCommand::SetPriority { .. }
-                | EngineCommand::ReadPage { .. }
-                | EngineCommand::ClosePages { .. }
-                | EngineCommand::Unknown(_) => {}
+                EngineCommand::ReadPage { request_id, page } => {
+                    self.send_page(connection, &request_id, &page)
+                }
+                EngineCommand::ClosePages { request_id } => self.close_pages(connection, &request_id),
+                // The load model has no priorities.
+                EngineCommand::SetPriority { .. } | EngineCommand::Unknown(_) => {}
             }
         }
     }
@@ -124,6 +125,7 @@
             engine: engine_index,
             time_left: call.fields.time_left.unwrap_or_default(),
             started: refusal.is_none(),
+            pages: 0,
             ended_at: refusal.map(|_| now),
         });
         if let Some(refusal) = refusal {
@@ -157,7 +159,7 @@
         }
     }
 
-    fn send(&mut self, connection: usize, id: &str, reply: EngineReply<'_>) {
+    pub(super) fn send(&mut self, connection: usize, id: &str, reply: EngineReply<'_>) {
         if let Some(connection) = self.connections.get_mut(connection) {
             connection.stream.send(&reply.encode(id));
         }
@@ -181,11 +183,14 @@
         }
         let Some(call) = engine.running.remove(request_id) else { return };
         record_end(request_id, call.attempt, now, records);
-        let rows = result_rows(request_id, *index, call.attempt);
+        let fault = engine.fault;
         let used = UsedResources { work_ms: work_ms(call.work), memory_mb: NEEDED_MEMORY_MB };
-        let reply =
-            EngineReply::Result { pages: 1, used: Some(used), rows: rows.as_bytes() }.encode(request_id);
-        let sent_bytes = match engine.fault {
+        let reply = if fault == EngineFault::Spoiling {
+            self.make_paged_result(*index, request_id, call.attempt, used, records)
+        } else {
+            make_result(request_id, *index, call.attempt, used, records)
+        };
+        let sent_bytes = match fault {
             EngineFault::Silent => return,
             EngineFault::Truncating => &reply[..reply.len() / 2],
             _ => &reply[..],
@@ -207,6 +212,22 @@
     }
 }
 
+/// Records that an engine has made a result of one page for an attempt, and returns the encoded result.
+fn make_result(
+    request_id: &str,
+    engine: usize,
+    attempt: usize,
+    used: UsedResources,
+    records: &mut Records,
+) -> Vec<u8> {
+    let request = records.requests.get_mut(request_id);
+    if let Some(attempt_record) = request.and_then(|request| request.attempts.get_mut(attempt)) {
+        attempt_record.pages = 1;
+    }
+    let rows = result_rows(request_id, engine, attempt, 1);
+    EngineReply::Result { pages: 1, used: Some(used), rows: rows.as_bytes() }.encode(request_id)
+}
+
 /// Records the end of an attempt at its engine.
 fn record_end(request_id: &str, attempt: usize, now: Duration, records: &mut Records) {
     let request = records.requests.get_mut(request_id);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,9 +1,9 @@
 //! The faults of a run, which are drawn from its seed and may overlap.
 
 use clap::ValueEnum;
-use rand::Rng;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
 use std::ops::Range;
 use std::time::Duration;
 
@@ -25,6 +25,9 @@
     /// Some engines truncate each result for a while.
     #[value(name = "truncating")]
     TruncatedResults,
+    /// Some engines spoil half of their results, which have several pages, in all forms in turn for a while.
+    #[value(name = "spoiling")]
+    SpoiltResults,
     /// Some engines write their replies a few bytes at a time for a while.
     #[value(name = "pieces")]
     SmallWrites,
@@ -93,6 +96,8 @@
 }
 
 const FAULTS_PER_SECOND: f64 = 1.2;
+/// Number of faults with spoilt results, as a fraction of all others.
+const SPOILT_RESULTS_SHARE: f64 = 0.25;
 /// Earliest start of a fault, in seconds from the start of the traffic.
 const FIRST_FAULT_AT_S: f64 = 1.0;
 /// Minimum length of the period in which faults start, in seconds.
@@ -101,8 +106,24 @@
 const ENGINE_FRACTIONS: Range<f64> = 0.05..0.3;
 const TARGETS: Range<usize> = 0..1000;
 
-/// Draws the faults of a run with `seconds` of traffic; returns them in the order in which they start.
-pub fn draw(rng: &mut StdRng, kinds: &[FaultKind], seconds: f64) -> Vec<Fault> {
+/// Multiplied with a run's seed, gives the seed of the generator of [`FaultKind::SpoiltResults`].
+const SPOILT_RESULTS_SEED_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Draws the faults of the run with this seed; returns them in the order in which they start. Spoilt results have a
+/// separate random generator, so that the other faults of a seed are those of runs before this kind was added.
+pub fn plan(seed: u64, rng: &mut StdRng, kinds: &[FaultKind], seconds: f64) -> Vec<Fault> {
+    let (spoilt, others): (Vec<FaultKind>, Vec<FaultKind>) =
+        kinds.iter().partition(|kind| **kind == FaultKind::SpoiltResults);
+    let mut faults = draw(rng, &others, seconds);
+    let mut spoilt_rng = StdRng::seed_from_u64(seed.wrapping_mul(SPOILT_RESULTS_SEED_FACTOR));
+    let spoilt_share = if others.is_empty() { 1.0 } else { SPOILT_RESULTS_SHARE };
+    faults.extend(draw(&mut spoilt_rng, &spoilt, seconds * spoilt_share));
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
+
+/// Draws faults of these kinds for a run with `seconds` of traffic; returns them in the order in which they start.
+fn draw(rng: &mut StdRng, kinds: &[FaultKind], seconds: f64) -> Vec<Fault> {
     let count = (seconds * FAULTS_PER_SECOND) as usize;
     let fault_period = FIRST_FAULT_AT_S..seconds.max(FIRST_FAULT_AT_S + MIN_FAULT_PERIOD_S);
     let mut faults = Vec::with_capacity(count);
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -37,6 +37,8 @@
     pub time_left: Duration,
     /// Whether the engine started to run the attempt.
     pub started: bool,
+    /// Number of pages of the result that the engine made; 0 until the attempt has succeeded.
+    pub pages: u32,
     /// When the engine finished, refused or cancelled the attempt, or when its connection was closed.
     pub ended_at: Option<Duration>,
 }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -103,7 +103,7 @@
             let address = host_address(&engines, FIRST_ROUTER_HOST + index, ROUTER_PORT);
             routers.push(Router::new(index.into(), address, directory, faults));
         }
-        let faults = faults::draw(&mut rng, &options.fault_kinds(), options.seconds);
+        let faults = faults::plan(seed, &mut rng, &options.fault_kinds(), options.seconds);
         // Clients have a separate random generator, so that draws elsewhere in the run do not change theirs.
         let clients = Clients::new(FIRST_CLIENT_TOKEN, FIRST_ENGINE_TOKEN, StdRng::seed_from_u64(seed ^ 1));
         Ok(Self {
--- a/crates/soak/src/soak_run/fault_injection.rs
+++ b/crates/soak/src/soak_run/fault_injection.rs
@@ -9,7 +9,8 @@
 use crate::faults::{Fault, FaultKind};
 use crate::records::{Drain, EngineStart};
 use emberflow_peer_protocol::discovery::{Endpoint, EngineState};
-use rand::Rng;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use std::io;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -36,6 +37,7 @@
             FaultKind::SlowEngines => self.inject_engine_fault(fault, SLOW_ENGINE, now),
             FaultKind::FailingEngines => self.inject_engine_fault(fault, EngineFault::Failing, now),
             FaultKind::TruncatedResults => self.inject_engine_fault(fault, EngineFault::Truncating, now),
+            FaultKind::SpoiltResults => self.spoil_results(fault, now),
             FaultKind::SmallWrites => self.inject_engine_fault(fault, EngineFault::SmallWrites, now),
             FaultKind::ConnectionResets => self.reset_connections(fault, now),
             FaultKind::DelayedConnects => self.delay_connects(fault, now)?,
@@ -64,14 +66,15 @@
 
     /// Draws each engine that is listed as ready with the probability `fraction`, up to a fraction of all engines.
     fn draw_engines(&mut self, fraction: f64) -> Vec<usize> {
-        let mut drawn = Vec::new();
-        for endpoint in &self.discovery.endpoints {
-            if endpoint.state == EngineState::Ready && self.rng.random_bool(fraction) {
-                drawn.push(endpoint.id as usize);
-            }
-        }
-        drawn.truncate(self.discovery.endpoints.len() / ENGINES_PER_AFFECTED_ENGINE);
-        drawn
+        draw_ready_engines(&self.discovery.endpoints, fraction, &mut self.rng)
+    }
+
+    /// Lets some engines spoil their results. They are drawn by a separate generator, as the faults themselves are.
+    fn spoil_results(&mut self, fault: Fault, now: Duration) {
+        let mut rng = StdRng::seed_from_u64(fault.target as u64);
+        let engines = draw_ready_engines(&self.discovery.endpoints, fault.engine_fraction, &mut rng);
+        self.set_engine_faults(&engines, EngineFault::Spoiling, now);
+        self.timers.set(now + fault.duration, Timer::EndEngineFault { engines });
     }
 
     /// Returns the ready engines of the zone that a fault affects.
@@ -194,3 +197,15 @@
         Ok(())
     }
 }
+
+/// Draws each engine that is listed as ready with the probability `fraction`, up to a fraction of all engines.
+fn draw_ready_engines(endpoints: &[Endpoint], fraction: f64, rng: &mut StdRng) -> Vec<usize> {
+    let mut drawn = Vec::new();
+    for endpoint in endpoints {
+        if endpoint.state == EngineState::Ready && rng.random_bool(fraction) {
+            drawn.push(endpoint.id as usize);
+        }
+    }
+    drawn.truncate(endpoints.len() / ENGINES_PER_AFFECTED_ENGINE);
+    drawn
+}
--- a/crates/soak/src/statements.rs
+++ b/crates/soak/src/statements.rs
@@ -22,7 +22,15 @@
     Some(Duration::from_secs_f64(work_ms / MS_PER_SECOND))
 }
 
-/// Returns the rows that an engine returns for an attempt of a request; `engine` and `attempt` are indices.
-pub fn result_rows(request_id: &str, engine: usize, attempt: usize) -> String {
-    format!("{request_id}\t{engine}\t{attempt}\n")
+/// Returns a page of the result of an attempt of a request; `engine` and `attempt` are indices.
+pub fn result_page(request_id: &str, engine: usize, attempt: usize, page: u32) -> String {
+    match page {
+        0 => format!("{request_id}\t{engine}\t{attempt}\n"),
+        page => format!("{request_id}\t{engine}\t{attempt}.{page}\n"),
+    }
+}
+
+/// Returns all rows of the result of an attempt, in their order.
+pub fn result_rows(request_id: &str, engine: usize, attempt: usize, pages: u32) -> String {
+    (0..pages).map(|page| result_page(request_id, engine, attempt, page)).collect()
 }
--- a/crates/soak/tests/faults.rs
+++ b/crates/soak/tests/faults.rs
@@ -1,17 +1,21 @@
 //! Short runs of a few seeds with all kinds of faults, with a usual number of engines and with twenty times as many.
 
-use emberflow_soak::options::RunOptions;
+use emberflow_soak::faults::FaultKind;
+use emberflow_soak::options::{FaultName, RunOptions};
 use emberflow_soak::run::run_seed;
 
-fn check_run(seed: u64, engines: u16) {
+/// Requests a second for each router.
+const USUAL_RATE: f64 = 12.0;
+
+fn check_run(seed: u64, engines: u16, rate: f64, faults: Option<Vec<FaultName>>) {
     let options = RunOptions {
         seconds: 8.0,
         routers: 3,
         engines,
-        rate: 12.0,
+        rate,
         fleet: None,
         slowdown: Some(2.0),
-        faults: None,
+        faults,
         no_shim: false,
         router: None,
         directory: None,
@@ -23,10 +27,17 @@
 
 #[test]
 fn a_usual_fleet_under_overlapping_faults_keeps_all_invariants() {
-    (1..=2).for_each(|seed| check_run(seed, 48));
+    (1..=2).for_each(|seed| check_run(seed, 48, USUAL_RATE, None));
 }
 
 #[test]
 fn a_large_fleet_under_overlapping_faults_keeps_all_invariants() {
-    (3..=4).for_each(|seed| check_run(seed, 960));
+    (3..=4).for_each(|seed| check_run(seed, 960, USUAL_RATE, None));
+}
+
+/// Guards against spoilt results that are served in part, or that fill the memory of a router.
+#[test]
+fn spoilt_results_are_not_served_and_do_not_fill_the_memory() {
+    const HIGH_RATE: f64 = 60.0;
+    check_run(5, 12, HIGH_RATE, Some(vec![FaultName(Some(FaultKind::SpoiltResults))]));
 }
--- a/crates/soak/tests/interface.rs
+++ b/crates/soak/tests/interface.rs
@@ -10,8 +10,8 @@
 use std::path::Path;
 
 /// The fault names that `docs/soak.md` documents.
-const FAULT_NAMES: &str = "silent mute slow failing truncating pieces reset late-connect idle-close drain crash zone \
-                           discovery-down discovery-silent list term kill stop reload leave burst crowd";
+const FAULT_NAMES: &str = "silent mute slow failing truncating spoiling pieces reset late-connect idle-close drain \
+                           crash zone discovery-down discovery-silent list term kill stop reload leave burst crowd";
 
 #[test]
 fn each_kind_of_fault_has_its_documented_name() {
--- a/crates/soak/tests/unit/invariants.rs
+++ b/crates/soak/tests/unit/invariants.rs
@@ -22,7 +22,7 @@
 }
 
 fn attempt(at: u64) -> Attempt {
-    Attempt { at: ms(at), engine: 0, time_left: ms(1500), started: true, ended_at: None }
+    Attempt { at: ms(at), engine: 0, time_left: ms(1500), started: true, pages: 0, ended_at: None }
 }
 
 fn invariants_violated_by(request: RequestRecord, change: impl FnOnce(&mut Records)) -> Vec<Invariant> {
