A result that its last page completes needs no part of the limit of results

Need: at the limit of all incomplete results, a result of one page was cancelled too, and so was one whose last page arrived, although neither is held any longer: a request that had run lost its answer for no gain.

Change: a page that completes its result is charged without the limit and released at once.

--- a/crates/router/src/engine_pool/byte_account.rs
+++ b/crates/router/src/engine_pool/byte_account.rs
@@ -22,6 +22,11 @@
         is_within_limit
     }
 
+    /// Counts further bytes as in use, even beyond the limit. The caller releases them before it handles other input.
+    pub fn charge_briefly(&mut self, bytes: usize) {
+        self.used += bytes;
+    }
+
     /// Counts bytes that were charged before as free.
     pub fn release(&mut self, bytes: usize) {
         self.used -= bytes;
--- a/crates/router/src/engine_pool/replies.rs
+++ b/crates/router/src/engine_pool/replies.rs
@@ -243,8 +243,8 @@
         self.store_page(attempt_slot, page, body, context)
     }
 
-    /// Adds a missing page to a result. Cancels the attempt if the results of all attempts would exceed their limit: the
-    /// router must not run out of memory, and the engine is not at fault.
+    /// Adds a missing page to a result. Cancels the attempt if the incomplete results of all attempts would exceed their
+    /// limit: the router must not run out of memory, and the engine is not at fault.
     fn store_page(
         &mut self,
         attempt_slot: Slot,
@@ -255,7 +255,10 @@
         let Some(attempt) = self.attempts.get_mut(attempt_slot) else { return Ok(()) };
         let Some(result) = attempt.result.as_mut() else { return Ok(()) };
         result.check_missing_page(number, &page)?;
-        if !self.result_bytes.charge(page.len()) {
+        if result.lacks_one_page() {
+            // The result ends its attempt at once, so it needs no part of the limit.
+            self.result_bytes.charge_briefly(page.len());
+        } else if !self.result_bytes.charge(page.len()) {
             context.counters.count("results_over_the_limit");
             self.cancel(attempt_slot, context);
             return Ok(());
--- a/crates/router/src/engine_pool/reply_fields.rs
+++ b/crates/router/src/engine_pool/reply_fields.rs
@@ -30,7 +30,7 @@
     }
 }
 
-/// The fields of a reply.
+/// The names and values of a reply's fields. Each value is decoded on access.
 pub(super) struct ReplyFields<'a>(FieldList<'a>);
 
 impl<'a> ReplyFields<'a> {
--- a/crates/router/src/engine_pool/result_pages.rs
+++ b/crates/router/src/engine_pool/result_pages.rs
@@ -91,6 +91,11 @@
         first..self.requested
     }
 
+    /// Whether one missing page completes the result.
+    pub fn lacks_one_page(&self) -> bool {
+        self.pages.len() + 1 == self.page_count
+    }
+
     /// Whether all pages have arrived.
     pub fn is_complete(&self) -> bool {
         self.pages.len() == self.page_count
--- a/crates/router/tests/sockets/harness/engine.rs
+++ b/crates/router/tests/sockets/harness/engine.rs
@@ -57,7 +57,7 @@
     words.collect::<Vec<_>>().join(" ")
 }
 
-/// Returns the request of an id.
+/// Decodes the number of a request from its id on the wire.
 pub fn parse_request(id: &str) -> u64 {
     u64::from_str_radix(id, 16).expect("an id is a hexadecimal number")
 }
