Reload test: SIGTERM and SIGHUP come from one process

The test starts a `kill` for each signal; the router may exit 0.7 s after SIGTERM, and on that machine the second `kill` came later than that.

Change: one `sh` sends both in turn. The expected text and the order of the signals stay.

--- a/crates/router/tests/sockets/harness/process.rs
+++ b/crates/router/tests/sockets/harness/process.rs
@@ -172,6 +172,14 @@
         kill.status().expect("`kill` is installed");
     }
 
+    /// Sends the router several signals in turn. A single process sends them, so that no time passes between them on a
+    /// busy machine.
+    pub fn signal_in_turn(&self, signals: &[&str]) {
+        let pid = self.process.id();
+        let commands: Vec<String> = signals.iter().map(|signal| format!("kill {signal} {pid}")).collect();
+        Command::new("sh").arg("-c").arg(commands.join(";")).status().expect("`sh` is installed");
+    }
+
     /// Waits until the router logs a line that contains `awaited`.
     pub fn wait_for_log(&mut self, awaited: &str) {
         self.count_log_lines_before(awaited, awaited);
--- a/crates/router/tests/sockets/reload.rs
+++ b/crates/router/tests/sockets/reload.rs
@@ -61,8 +61,8 @@
     let _moved_discovery = router.accept_discovery();
     router.record_result(&mut client, &mut engine, 1, "x\t\t\n");
     router.record(format!("the previous discovery reads {:?} bytes", previous_discovery.read_more().ok()));
-    router.signal("-TERM");
-    router.signal("-HUP");
+    // The graceful shutdown takes 0.7 s, within which the reload must arrive.
+    router.signal_in_turn(&["-TERM", "-HUP"]);
     expect![[r#"
         discovery dialled after event 1
         GET 0000000000000001 queue=lookup,mem=120,prio=2 select 1
