--- a/crates/model-checker/tests/random.rs
+++ b/crates/model-checker/tests/random.rs
@@ -122,7 +122,7 @@
         .prop_map(|replies| replies.concat())
 }
 
-/// Number of parts of a reply.
+/// A reply has an id, a type, fields and a body.
 const REPLY_PARTS: usize = 4;
 /// Limit of the size of a part, which is longer than any generated one.
 const MAX_PART_BYTES: usize = 64 * 1024;
