Spoilt answers: one record of a result in the soak, tests that say the one end once

Reading the change again: the soak recorded a made result in two functions and looked an attempt's record up in three; 28 spoilt replies had one expected line each, all the same text; no test saw that a rejection is logged.

Change: `record_result` and `attempt_record` serve all three; `assert_all_rejected` compares each end with the one text, as exactly as before, and names the case; the socket test waits for the line `malformed engine input: engine=0` at each rejection. No code of the router changed.

--- a/crates/router/tests/sockets/harness/log_lines.rs
+++ b/crates/router/tests/sockets/harness/log_lines.rs
@@ -25,3 +25,5 @@
 pub fn discovery_event(number: u64) -> String {
     format!("endpoint event received: number={number} ")
 }
+/// A reply of an engine was rejected; the reason follows.
+pub const ENGINE_INPUT_MALFORMED: &str = "malformed engine input: engine=0 ";
--- a/crates/router/tests/sockets/requests.rs
+++ b/crates/router/tests/sockets/requests.rs
@@ -194,6 +194,7 @@
                 engine.send_bytes(engine.connection_of(id), &with_wrong_part_count(second_page, id));
             }
         }
+        router.wait_for_log(log_lines::ENGINE_INPUT_MALFORMED);
         router.record_commands(&mut engine, 2);
         router.record_result(&mut client, &mut engine, id, ROWS);
     }
--- a/crates/router/tests/unit/spoilt_replies.rs
+++ b/crates/router/tests/unit/spoilt_replies.rs
@@ -51,9 +51,12 @@
     fixture.describe_end()
 }
 
-/// Returns the ends of the attempts whose engines send the replies of each case, one line a case.
-fn ends_after(cases: &[(&str, Vec<Vec<u8>>)]) -> String {
-    cases.iter().map(|(name, replies)| format!("{name}: {}\n", end_after(replies))).collect()
+/// Checks that the replies of each case are rejected: the attempt is broken, its connection closed, and one reply counted.
+fn assert_all_rejected(cases: &[(&str, Vec<Vec<u8>>)]) {
+    for (name, replies) in cases {
+        let expected = "Broken, None bytes; open false engine_input_malformed=1";
+        assert_eq!(end_after(replies), expected, "{name}");
+    }
 }
 
 fn first_of_two() -> Vec<u8> {
@@ -78,15 +81,7 @@
         ("no body", vec![without_body]),
         ("second page, array of 3", vec![first_of_two(), with_part_count(3, second())]),
     ];
-    expect![[r#"
-        array of 3: Broken, None bytes; open false engine_input_malformed=1
-        array of 2: Broken, None bytes; open false engine_input_malformed=1
-        array of 0: Broken, None bytes; open false engine_input_malformed=1
-        array of 5: Broken, None bytes; open false engine_input_malformed=1
-        no body: Broken, None bytes; open false engine_input_malformed=1
-        second page, array of 3: Broken, None bytes; open false engine_input_malformed=1
-    "#]]
-    .assert_eq(&ends_after(&spoilt));
+    assert_all_rejected(&spoilt);
 }
 
 /// Guards against results that are served with a part of their pages, and against impossible figures in estimates.
@@ -112,25 +107,7 @@
         ("impossible need", first_page("pages=1,cost=30.0,need=1e300")),
         ("load report of noise", first_page("pages=1,use=util:0.5;~")),
     ];
-    expect![[r#"
-        no `pages`: Broken, None bytes; open false engine_input_malformed=1
-        no fields: Broken, None bytes; open false engine_input_malformed=1
-        noise for a name: Broken, None bytes; open false engine_input_malformed=1
-        printable noise for a name: Broken, None bytes; open false engine_input_malformed=1
-        noise for another name: Broken, None bytes; open false engine_input_malformed=1
-        noise for a separator: Broken, None bytes; open false engine_input_malformed=1
-        noise for a value: Broken, None bytes; open false engine_input_malformed=1
-        `pages` twice: Broken, None bytes; open false engine_input_malformed=1
-        part of a page: Broken, None bytes; open false engine_input_malformed=1
-        negative `pages`: Broken, None bytes; open false engine_input_malformed=1
-        no `page`: Broken, None bytes; open false engine_input_malformed=1
-        part of a page's number: Broken, None bytes; open false engine_input_malformed=1
-        negative `page`: Broken, None bytes; open false engine_input_malformed=1
-        negative cost: Broken, None bytes; open false engine_input_malformed=1
-        impossible need: Broken, None bytes; open false engine_input_malformed=1
-        load report of noise: Broken, None bytes; open false engine_input_malformed=1
-    "#]]
-    .assert_eq(&ends_after(&spoilt));
+    assert_all_rejected(&spoilt);
 }
 
 /// Guards against results that are put together from replies that contradict each other, and against a second run of a
@@ -149,15 +126,7 @@
         ),
         ("rejection after a page", vec![first_of_two(), reply("SHED", "-", "")]),
     ];
-    expect![[r#"
-        first of two without rows: Broken, None bytes; open false engine_input_malformed=1
-        second of two without rows: Broken, None bytes; open false engine_input_malformed=1
-        another first page: Broken, None bytes; open false engine_input_malformed=1
-        another number of pages: Broken, None bytes; open false engine_input_malformed=1
-        another second page: Broken, None bytes; open false engine_input_malformed=1
-        rejection after a page: Broken, None bytes; open false engine_input_malformed=1
-    "#]]
-    .assert_eq(&ends_after(&spoilt));
+    assert_all_rejected(&spoilt);
 }
 
 /// Guards against a reading of replies that is stricter than the protocol.
--- a/crates/soak/src/engines/calls.rs
+++ b/crates/soak/src/engines/calls.rs
@@ -3,7 +3,7 @@
 use super::{Engine, EngineConnection, EngineFault, Engines};
 use crate::config::{CORES_PER_ENGINE, PROGRESS_INTERVAL};
 use crate::records::{Attempt, Records};
-use crate::statements::{result_rows, work_ms, work_of};
+use crate::statements::{result_page, work_ms, work_of};
 use emberflow_peer_protocol::engine::{Call, EngineCommand, EngineReply, UsedResources};
 use emberflow_peer_protocol::resp::decode_array;
 use std::time::Duration;
@@ -188,7 +188,9 @@
         let reply = if fault == EngineFault::Spoiling {
             self.make_paged_result(*index, request_id, call.attempt, used, records)
         } else {
-            make_result(request_id, *index, call.attempt, used, records)
+            record_result(request_id, call.attempt, 1, records);
+            let rows = result_page(request_id, *index, call.attempt, 0);
+            EngineReply::Result { pages: 1, used: Some(used), rows: rows.as_bytes() }.encode(request_id)
         };
         let sent_bytes = match fault {
             EngineFault::Silent => return,
@@ -212,26 +214,21 @@
     }
 }
 
-/// Records that an engine has made a result of one page for an attempt, and returns the encoded result.
-fn make_result(
-    request_id: &str,
-    engine: usize,
-    attempt: usize,
-    used: UsedResources,
-    records: &mut Records,
-) -> Vec<u8> {
-    let request = records.requests.get_mut(request_id);
-    if let Some(attempt_record) = request.and_then(|request| request.attempts.get_mut(attempt)) {
-        attempt_record.pages = 1;
+/// Records that an engine has made a result of this many pages for an attempt.
+pub(super) fn record_result(request_id: &str, attempt: usize, pages: u32, records: &mut Records) {
+    if let Some(record) = attempt_record(request_id, attempt, records) {
+        record.pages = pages;
     }
-    let rows = result_rows(request_id, engine, attempt, 1);
-    EngineReply::Result { pages: 1, used: Some(used), rows: rows.as_bytes() }.encode(request_id)
+}
+
+/// Returns the record of an attempt, by its index in the record of its request.
+fn attempt_record<'a>(request_id: &str, attempt: usize, records: &'a mut Records) -> Option<&'a mut Attempt> {
+    records.requests.get_mut(request_id)?.attempts.get_mut(attempt)
 }
 
 /// Records the end of an attempt at its engine.
 fn record_end(request_id: &str, attempt: usize, now: Duration, records: &mut Records) {
-    let request = records.requests.get_mut(request_id);
-    if let Some(attempt) = request.and_then(|request| request.attempts.get_mut(attempt)) {
-        attempt.ended_at = Some(now);
+    if let Some(record) = attempt_record(request_id, attempt, records) {
+        record.ended_at = Some(now);
     }
 }
--- a/crates/soak/src/engines/results.rs
+++ b/crates/soak/src/engines/results.rs
@@ -1,5 +1,6 @@
 //! Results of several pages, and the forms in which engines spoil them.
 
+use super::calls::record_result;
 use super::{EngineFault, Engines};
 use crate::records::Records;
 use crate::statements::result_page;
@@ -106,10 +107,7 @@
         let form = is_spoilt.then(|| FORMS[engine.results_made / 2 % FORMS.len()]);
         engine.results_made += 1;
         engine.paged_results.insert(request_id.to_owned(), PagedResult { attempt, form });
-        let request = records.requests.get_mut(request_id);
-        if let Some(attempt_record) = request.and_then(|request| request.attempts.get_mut(attempt)) {
-            attempt_record.pages = PAGES;
-        }
+        record_result(request_id, attempt, PAGES, records);
         first_page(request_id, &result_page(request_id, engine_index, attempt, 0), used, form)
     }
 
