--- a/review/standins-2/peers.rs
+++ b/review/standins-2/peers.rs
@@ -12,6 +12,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
+
+unsafe extern "C" {
+    safe fn kill(pid: i32, signal: i32) -> i32;
+}
+
 /// The record of a run: what was sent, answered and run, with the time since the start.
 #[derive(Clone)]
 pub struct Record {
@@ -243,8 +251,16 @@
         Ok(Self { name: name.to_owned(), socket, next_id: 1, answers, record: record.clone() })
     }
 
+    /// Sends a cancellation, to which no answer is owed.
+    pub fn withdraw(&mut self, req: &str) -> io::Result<()> {
+        self.record.log(format!("client {} withdraws {req}", self.name));
+        let line =
+            format!("{{\"jsonrpc\":\"2.0\",\"method\":\"withdraw\",\"params\":{{\"req\":\"{req}\"}}}}\n");
+        self.socket.write_all(line.as_bytes())
+    }
+
     /// Encodes a request under the next id.
-    pub fn encode(&mut self, request: &Request) -> (u64, String) {
+    fn encode(&mut self, request: &Request) -> (u64, String) {
         let id = self.next_id;
         self.next_id += 1;
         let Request { class, req, timeout_ms, work_ms, memory_mb, more, statement } = request;
@@ -258,7 +274,8 @@
     /// Sends a request; returns the id of the message.
     pub fn send(&mut self, request: &Request) -> io::Result<u64> {
         let (id, line) = self.encode(request);
-        self.record.log(format!("client {} sends {}", self.name, line.trim_end()));
+        let shown: String = line.trim_end().chars().take(200).collect();
+        self.record.log(format!("client {} sends {shown}", self.name));
         self.socket.write_all(line.as_bytes())?;
         Ok(id)
     }
@@ -299,6 +316,7 @@
     child: Child,
     pub address: SocketAddr,
     pid_file: PathBuf,
+    record: Record,
 }
 
 impl Router {
@@ -329,7 +347,7 @@
         record.log(format!("router started as process {} at {address}", child.id()));
         let pid_file = place.temporary.join("router.pid");
         std::fs::write(&pid_file, child.id().to_string()).map_err(|error| error.to_string())?;
-        let mut router = Self { child, address, pid_file };
+        let mut router = Self { child, address, pid_file, record: record.clone() };
         for _ in 0..200 {
             sleep_ms(50);
             let Ok(mut client) = Client::connect("front", address, record) else { continue };
@@ -343,6 +361,12 @@
         Err("the router does not serve".to_owned())
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: i32, name: &str) {
+        self.record.log(format!("the router gets {name}"));
+        kill(self.child.id() as i32, signal);
+    }
+
     /// Ends the process.
     pub fn end(&mut self) {
         let _ = self.child.kill();
