A keyed retry is not written after the window of its idempotency key

Cause: the window was a condition of the decision only (may_retry). The call may then wait for its connection: for the answer to a health check, for a new connection, or after a move to another one. The checks before the write knew the deadline, not the window.

Change: the scheduler states with each attempt by when it must be written (SendLimits, src/policy/retries.rs). The router checks this directly before the write on every path, also for a moved call and after a stall, and sets a timer, so that a call that still waits then ends at once. The attempt ends as Lapsed(KeyWindow): logged, counted (calls_past_their_key_window, attempts_lapsed), and told to the scheduler, which fails the request. A call that fits its window is sent as before.

The answer: a request with a key known everywhere was rejected ("a retry is harmless") although its engines had forgotten the key.

Tests: sockets::send_conditions. The model checker's attempts may lapse; "stated key window" is new, "safe rejection" includes the window, and two mutants are planted. It prints which invariants a set of scenarios did not exercise.

--- a/crates/model-checker/src/command.rs
+++ b/crates/model-checker/src/command.rs
@@ -232,5 +232,8 @@
         invariants.len(),
         elapsed.as_secs_f64()
     );
+    if !unexercised.is_empty() {
+        println!("not exercised: {}", unexercised.join(", "));
+    }
     ExitCode::SUCCESS
 }
--- a/crates/model-checker/src/connection_model/apply.rs
+++ b/crates/model-checker/src/connection_model/apply.rs
@@ -12,7 +12,7 @@
 use super::transition::Transition;
 use crate::invariants::first_violated;
 use crate::wire::{ScriptedInput, execute_pool_commands};
-use emberflow::{AttemptOutcome, Lifecycle, RequestId};
+use emberflow::{AttemptOutcome, Lifecycle, RequestId, SendLimits};
 use emberflow_peer_protocol::request_id;
 use emberflow_router::discovery::EndpointRecord;
 use emberflow_router::engine_pool::{Call, PoolEvent, Reachability};
@@ -101,7 +101,7 @@
             statement: statement.as_bytes(),
             grant_mb: 0.0,
             priority: PRIORITY,
-            deadline,
+            limits: SendLimits { timeout_at: deadline, key_window_end: None },
         };
         let late_answers = state.late_answers.iter().filter(|answer| answer.request == request);
         let excluded: Vec<Slot> = late_answers.map(|answer| answer.connection).collect();
@@ -195,6 +195,7 @@
         while let Some(due) = state.context.timers.pop(to) {
             match due {
                 Timer::AttemptDeadline(slot) => state.engines.attempt_overdue(slot, &mut state.context),
+                Timer::CallExpiry(slot) => state.engines.call_expired(slot, &mut state.context),
                 Timer::ConnectionCheck(slot) => {
                     state.engines.connection_check_due(slot, to, &mut state.context)
                 }
--- a/crates/model-checker/src/connection_model/invariants.rs
+++ b/crates/model-checker/src/connection_model/invariants.rs
@@ -67,8 +67,9 @@
 
 fn misreports_arrival(_: &ConnectionScenario, state: &ConnectionState, event: &Event) -> bool {
     let Event::AttemptEnds { attempt, outcome, .. } = event else { return false };
-    let never_ran = matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Unreachable);
-    never_ran && state.attempts[*attempt].arrivals > 0
+    let never_sent =
+        matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Unreachable | AttemptOutcome::Lapsed(_));
+    never_sent && state.attempts[*attempt].arrivals > 0
 }
 
 fn arrives_again(_: &ConnectionScenario, state: &ConnectionState, event: &Event) -> bool {
--- a/crates/model-checker/src/connection_model/state.rs
+++ b/crates/model-checker/src/connection_model/state.rs
@@ -205,8 +205,7 @@
             let connection = connection.and_then(|connection| position_of.get(&connection));
             let is_in_flight = attempt.outcome.is_none();
             let time_left = is_in_flight.then(|| attempt.deadline.saturating_sub(self.now));
-            let outcome = attempt.outcome.map(|outcome| outcome as u8);
-            (attempt.request, time_left, outcome, attempt.arrivals).hash(&mut hasher);
+            (attempt.request, time_left, attempt.outcome, attempt.arrivals).hash(&mut hasher);
             (attempt.pages, attempt.has_progress_update, connection).hash(&mut hasher);
         }
         for answer in &self.late_answers {
--- a/crates/model-checker/src/mutants.rs
+++ b/crates/model-checker/src/mutants.rs
@@ -23,6 +23,7 @@
 const RETRIES: &str = "src/policy/retries.rs";
 const SLOW_START: &str = "src/policy/slow_start.rs";
 const ENGINE_STATE: &str = "src/state/engine.rs";
+const INPUT: &str = "src/input.rs";
 const RECORDING: &str = "src/state/recording.rs";
 const REQUEST_STATE: &str = "src/state/request.rs";
 
@@ -66,7 +67,7 @@
         "request.attempts.len() < self.attempt_limits.max_attempts",
         "request.attempts.len() <= self.attempt_limits.max_attempts",
     ),
-    scheduler("window doubled", RETRIES, "< first.sent_at + *window", "< first.sent_at + *window * 2"),
+    scheduler("window doubled", RETRIES, "(first.sent_at + *window)", "(first.sent_at + *window * 2)"),
     scheduler(
         "cell ignored",
         PLACEMENT,
@@ -94,15 +95,27 @@
     scheduler(
         "non-idempotent sent again",
         RETRIES,
-        "(Idempotency::NonIdempotent, Some(_)) => false",
-        "(Idempotency::NonIdempotent, Some(_)) => true",
+        "Idempotency::NonIdempotent => false",
+        "Idempotency::NonIdempotent => true",
+    ),
+    scheduler(
+        "key window not stated",
+        RETRIES,
+        "key_window_end: self.key_window_end(request)",
+        "key_window_end: None",
+    ),
+    scheduler(
+        "rejected after the key window",
+        RETRIES,
+        "self.is_key_remembered(request, now + retry_after.unwrap_or_default())",
+        "self.is_key_remembered(request, now - retry_after.unwrap_or(now))",
     ),
     scheduler("unsafe rejection", RETRIES, "_ => request.first_that_may_have_run().is_none(),", "_ => true,"),
     scheduler(
         "a broken attempt never ran",
-        REQUEST_STATE,
-        "[AttemptOutcome::Overloaded, AttemptOutcome::Unreachable, AttemptOutcome::NotSent]",
-        "[AttemptOutcome::Overloaded, AttemptOutcome::Unreachable, AttemptOutcome::Broken]",
+        INPUT,
+        "!matches!(self, Self::Overloaded | Self::Unreachable | Self::NotSent | Self::Lapsed(_))",
+        "!matches!(self, Self::Overloaded | Self::Unreachable | Self::Broken | Self::Lapsed(_))",
     ),
     scheduler(
         "key order ignored",
@@ -279,7 +292,7 @@
     Mutant {
         name: "an attempt without a deadline",
         file: POOL_ATTEMPT,
-        from: "        context.timers.set(call.deadline, Timer::AttemptDeadline(attempt_slot));\n",
+        from: "        context.timers.set(call.limits.timeout_at, Timer::AttemptDeadline(attempt_slot));\n",
         to: "",
     },
     Mutant {
--- a/crates/model-checker/src/scheduler_model/counterexample.rs
+++ b/crates/model-checker/src/scheduler_model/counterexample.rs
@@ -65,7 +65,11 @@
     let engine = record.attempts[attempt].engine;
     let is_answered = !record.is_open() && outcome != AttemptOutcome::Succeeded;
     let method = if is_answered { "ended_after_answer" } else { "ended" };
-    format!(".{method}({request}, {attempt}, {engine}, AttemptOutcome::{outcome:?})")
+    let outcome = match outcome {
+        AttemptOutcome::Lapsed(condition) => format!("Lapsed(SendCondition::{condition:?})"),
+        other => format!("{other:?}"),
+    };
+    format!(".{method}({request}, {attempt}, {engine}, AttemptOutcome::{outcome})")
 }
 
 fn progress_call(state: &SchedulerModelState, request: usize, update: ProgressUpdate) -> String {
--- a/crates/model-checker/src/scheduler_model/effects.rs
+++ b/crates/model-checker/src/scheduler_model/effects.rs
@@ -4,7 +4,7 @@
 use super::event::{Event, EventLog};
 use super::state::{AttemptRecord, FinalAnswer, SchedulerModelState, SentWork};
 use crate::invariants::first_violated;
-use emberflow::{EngineId, RequestId};
+use emberflow::{EngineId, RequestId, SendLimits};
 use std::time::Duration;
 
 /// A time span that is longer than any deadline.
@@ -30,11 +30,11 @@
 
 fn apply_event(model: &SchedulerModel, state: &mut SchedulerModelState, event: Event) {
     match event {
-        Event::Send { request, engine, times_out_at } => send(model, state, request, engine, times_out_at),
+        Event::Send { request, engine, limits } => send(model, state, request, engine, limits),
         Event::Cancel { request, attempt } => {
             state.requests[request.index()].attempts[attempt].is_cancelled = true;
         }
-        Event::Reject { request } => {
+        Event::Reject { request, .. } => {
             state.requests[request.index()].answer = Some(FinalAnswer::Rejected);
         }
         Event::Fail { request } => state.requests[request.index()].answer = Some(FinalAnswer::Failed),
@@ -58,7 +58,7 @@
     state: &mut SchedulerModelState,
     request: RequestId,
     engine: EngineId,
-    times_out_at: Duration,
+    limits: SendLimits,
 ) {
     let record = &mut state.requests[request.index()];
     if !record.attempts.is_empty() {
@@ -67,7 +67,7 @@
     record.attempts.push(AttemptRecord {
         engine,
         sent_at: state.now,
-        times_out_at,
+        limits,
         outcome: None,
         is_cancelled: false,
         progress_updates: 0,
@@ -83,13 +83,19 @@
     let engines = (0..state.engine_records.len()).map(EngineId::from_index);
     for (index, record) in state.requests.iter().enumerate() {
         let request = RequestId::from_index(index);
-        let times_out_at = record.deadline - model.final_answer_margin();
-        events.extend([Event::Reject { request }, Event::Fail { request }, Event::Serve { request }]);
+        let timeout_at = record.deadline - model.final_answer_margin();
+        let limits = SendLimits { timeout_at, key_window_end: Some(Duration::ZERO) };
+        let without_key_window = SendLimits { key_window_end: None, ..limits };
+        events.extend([Event::Fail { request }, Event::Serve { request }]);
+        events.push(Event::Reject { request, retry_after: Some(LONG_TIME) });
         events.push(Event::Grant { request, grant_mb: EXCESSIVE_GRANT_MB });
         events.extend((0..record.attempts.len()).map(|attempt| Event::Cancel { request, attempt }));
-        events.extend(engines.clone().map(|engine| Event::Send { request, engine, times_out_at }));
-        let too_late = state.now + LONG_TIME;
-        events.push(Event::Send { request, engine: EngineId::default(), times_out_at: too_late });
+        for engine in engines.clone() {
+            events.push(Event::Send { request, engine, limits });
+            events.push(Event::Send { request, engine, limits: without_key_window });
+        }
+        let too_late = SendLimits { timeout_at: state.now + LONG_TIME, key_window_end: None };
+        events.push(Event::Send { request, engine: EngineId::default(), limits: too_late });
     }
     events.extend(engines.map(|engine| Event::Forget { engine }));
     events
--- a/crates/model-checker/src/scheduler_model/event.rs
+++ b/crates/model-checker/src/scheduler_model/event.rs
@@ -1,6 +1,6 @@
 //! The scheduler's actions, as its environment observes them.
 
-use emberflow::{Actions, EngineId, RequestId};
+use emberflow::{Actions, EngineId, RequestId, SendLimits};
 use std::time::Duration;
 
 /// Maximum number of events after one input; only a scheduler in an endless loop exceeds it.
@@ -9,14 +9,14 @@
 /// An action of the scheduler, an answer to a client, the passing of time, or the end of a run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Event {
-    /// The scheduler sends an attempt to an engine; the attempt times out at `times_out_at`.
-    Send { request: RequestId, engine: EngineId, times_out_at: Duration },
+    /// The scheduler sends an attempt to an engine, within limits.
+    Send { request: RequestId, engine: EngineId, limits: SendLimits },
     /// The scheduler sets the memory grant, in MB, of a request's next attempt.
     Grant { request: RequestId, grant_mb: f64 },
     /// The scheduler cancels an attempt, which is counted from 0 within its request.
     Cancel { request: RequestId, attempt: usize },
-    /// The scheduler answers a request with a rejection, after which its client may safely retry.
-    Reject { request: RequestId },
+    /// The scheduler answers a request with a rejection: its client may safely retry, after `retry_after` if it is given.
+    Reject { request: RequestId, retry_after: Option<Duration> },
     /// The scheduler answers a request with a failure; the request may have run.
     Fail { request: RequestId },
     /// The scheduler requests a wake-up after `wait`.
@@ -51,8 +51,8 @@
 }
 
 impl Actions for EventLog {
-    fn send(&mut self, request: RequestId, engine: EngineId, times_out_at: Duration) {
-        self.push(Event::Send { request, engine, times_out_at });
+    fn send(&mut self, request: RequestId, engine: EngineId, limits: SendLimits) {
+        self.push(Event::Send { request, engine, limits });
     }
     fn set_grant_and_priority(&mut self, request: RequestId, grant_mb: f64, _: u8) {
         self.push(Event::Grant { request, grant_mb });
@@ -60,8 +60,8 @@
     fn cancel(&mut self, request: RequestId, attempt: usize) {
         self.push(Event::Cancel { request, attempt });
     }
-    fn reject(&mut self, request: RequestId, _: Option<Duration>) {
-        self.push(Event::Reject { request });
+    fn reject(&mut self, request: RequestId, retry_after: Option<Duration>) {
+        self.push(Event::Reject { request, retry_after });
     }
     fn fail(&mut self, request: RequestId) {
         self.push(Event::Fail { request });
--- a/crates/model-checker/src/scheduler_model/invariants.rs
+++ b/crates/model-checker/src/scheduler_model/invariants.rs
@@ -44,9 +44,14 @@
     },
     Invariant {
         name: "safe rejection",
-        description: "a request is rejected only if the client may safely retry it",
+        description: "a request is rejected only if the client may safely retry it, with an idempotency key also after the time that the rejection names",
         is_violated: rejects_unsafely,
     },
+    Invariant {
+        name: "stated key window",
+        description: "an attempt of a request that may have run states by when it must be written, which is before the end of the key's window",
+        is_violated: states_no_key_window,
+    },
     Invariant {
         name: "draining",
         description: "no attempt is sent to an engine that is draining or removed",
@@ -117,7 +122,7 @@
 
 fn answers_twice(_: &SchedulerModel, state: &SchedulerModelState, event: &Event) -> bool {
     match event {
-        Event::Reject { request } | Event::Fail { request } | Event::Serve { request } => {
+        Event::Reject { request, .. } | Event::Fail { request } | Event::Serve { request } => {
             !record(state, request).is_open()
         }
         _ => false,
@@ -173,14 +178,27 @@
 }
 
 fn rejects_unsafely(model: &SchedulerModel, state: &SchedulerModelState, event: &Event) -> bool {
-    let Event::Reject { request } = event else { return false };
+    let Event::Reject { request, retry_after } = event else { return false };
     let record = record(state, request);
+    let Some(first) = record.first_that_may_have_run() else { return false };
+    let retry_at = state.now + retry_after.unwrap_or_default();
     let may_be_repeated = match &model.class_of(*request).idempotency {
         Idempotency::Idempotent => true,
-        Idempotency::IdempotentWithKey { scope, .. } => *scope == KeyScope::All,
-        Idempotency::NonIdempotent => false,
+        Idempotency::IdempotentWithKey { scope: KeyScope::All, window } => retry_at < first.sent_at + *window,
+        Idempotency::IdempotentWithKey { .. } | Idempotency::NonIdempotent => false,
+    };
+    record.is_open() && !may_be_repeated
+}
+
+fn states_no_key_window(model: &SchedulerModel, state: &SchedulerModelState, event: &Event) -> bool {
+    let Event::Send { request, limits, .. } = event else { return false };
+    let Idempotency::IdempotentWithKey { window, .. } = &model.class_of(*request).idempotency else {
+        return false;
+    };
+    let Some(first) = sent_request(state, event).and_then(RequestRecord::first_that_may_have_run) else {
+        return false;
     };
-    record.is_open() && !may_be_repeated && record.first_that_may_have_run().is_some()
+    limits.key_window_end.is_none_or(|end| end > first.sent_at + *window)
 }
 
 fn sends_to_draining_engine(_: &SchedulerModel, state: &SchedulerModelState, event: &Event) -> bool {
--- a/crates/model-checker/src/scheduler_model/state.rs
+++ b/crates/model-checker/src/scheduler_model/state.rs
@@ -5,6 +5,7 @@
 use super::scenario::EngineSpec;
 use emberflow::{
     AttemptOutcome, Endpoint, EngineId, FingerprintContext, KeyId, Lifecycle, RequestId, Scheduler,
+    SendLimits,
 };
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -16,8 +17,8 @@
     pub engine: EngineId,
     /// The time at which the scheduler sent the attempt.
     pub sent_at: Duration,
-    /// The time at which the attempt times out.
-    pub times_out_at: Duration,
+    /// The limits within which the scheduler sent the attempt.
+    pub limits: SendLimits,
     /// The outcome; `None` while the attempt is in flight.
     pub outcome: Option<AttemptOutcome>,
     /// Whether the scheduler has cancelled the attempt.
@@ -31,7 +32,12 @@
     pub fn may_have_run(&self) -> bool {
         !matches!(
             self.outcome,
-            Some(AttemptOutcome::Overloaded | AttemptOutcome::Unreachable | AttemptOutcome::NotSent)
+            Some(
+                AttemptOutcome::Overloaded
+                    | AttemptOutcome::Unreachable
+                    | AttemptOutcome::NotSent
+                    | AttemptOutcome::Lapsed(_)
+            )
         )
     }
 }
@@ -219,7 +225,7 @@
             let last =
                 request.attempts.last().map(|attempt| (attempt.progress_updates, attempt.is_cancelled));
             let times_out_in =
-                request.in_flight().map(|attempt| attempt.times_out_at.saturating_sub(self.now));
+                request.in_flight().map(|attempt| attempt.limits.timeout_at.saturating_sub(self.now));
             (last, times_out_in, request.attempts.len()).hash(hasher);
             (request.deadline.saturating_sub(self.now), self.now - request.arrived_at).hash(hasher);
         }
--- a/crates/model-checker/src/scheduler_model/transition.rs
+++ b/crates/model-checker/src/scheduler_model/transition.rs
@@ -3,7 +3,7 @@
 use super::SchedulerModel;
 use super::scenario::EndpointChange;
 use super::state::{AttemptRecord, EngineRecord, RequestRecord, SchedulerModelState};
-use emberflow::{AttemptOutcome, EngineId, Lifecycle, ProgressUpdate, RequestId};
+use emberflow::{AttemptOutcome, EngineId, Lifecycle, ProgressUpdate, RequestId, SendCondition};
 use std::ops::Range;
 use std::time::Duration;
 
@@ -71,7 +71,7 @@
 /// out.
 fn awaits_end(state: &SchedulerModelState, request: &RequestRecord) -> bool {
     let Some(attempt) = request.in_flight() else { return false };
-    is_abandoned(request, attempt) || attempt.times_out_at <= state.now
+    is_abandoned(request, attempt) || attempt.limits.timeout_at <= state.now
 }
 
 /// Whether an attempt is cancelled, or its request is answered or its client has disconnected.
@@ -93,12 +93,19 @@
         // An answer that the engine sent before the cancellation still arrives.
         return &[AttemptOutcome::Cancelled, AttemptOutcome::NotSent, AttemptOutcome::Succeeded];
     }
-    if attempt.times_out_at <= state.now {
+    if attempt.limits.timeout_at <= state.now {
         return &[AttemptOutcome::TimedOut, AttemptOutcome::Unreachable];
     }
     model.scenario.outcomes
 }
 
+/// Returns the outcome of an attempt whose call still waits for its connection when the window of its idempotency key
+/// ends; `None` before that.
+fn key_window_lapse(state: &SchedulerModelState, attempt: &AttemptRecord) -> Option<AttemptOutcome> {
+    let lapsed = attempt.limits.lapsed_at(state.now);
+    lapsed.filter(|condition| *condition == SendCondition::KeyWindow).map(AttemptOutcome::Lapsed)
+}
+
 fn append_attempt_transitions(
     model: &SchedulerModel,
     state: &SchedulerModelState,
@@ -107,7 +114,8 @@
     let has_queued_request = state.has_queued_request();
     for (request, record) in state.requests.iter().enumerate() {
         let Some(attempt) = record.in_flight() else { continue };
-        for outcome in possible_outcomes(model, state, record, attempt).iter().copied() {
+        let outcomes = possible_outcomes(model, state, record, attempt).iter().copied();
+        for outcome in outcomes.chain(key_window_lapse(state, attempt)) {
             let may_retry = outcome != AttemptOutcome::Succeeded && record.is_open();
             let draws = draws(model, may_retry || has_queued_request);
             transitions.extend(draws.map(|draw| Transition::EndAttempt { request, outcome, draw }));
@@ -217,7 +225,7 @@
     instants: &mut Vec<Duration>,
 ) {
     instants.push(request.deadline);
-    instants.extend(request.in_flight().map(|attempt| attempt.times_out_at));
+    instants.extend(request.in_flight().map(|attempt| attempt.limits.timeout_at));
     if model.visits_latency_objective {
         let objective = request.arrived_at + model.class_of(id).latency_objective;
         instants.extend([objective - SMALLEST_TIME_STEP, objective, objective + SMALLEST_TIME_STEP]);
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::jsonrpc::{self, ErrorCode};
 use crate::request_table::{Request, RequestTable};
 use crate::timers::Timer;
-use emberflow::{Actions, EngineId, RequestId};
+use emberflow::{Actions, EngineId, RequestId, SendLimits};
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
@@ -72,7 +72,7 @@
 }
 
 impl Actions for Dispatcher {
-    fn send(&mut self, request: RequestId, engine: EngineId, deadline: Duration) {
+    fn send(&mut self, request: RequestId, engine: EngineId, limits: SendLimits) {
         let Some(open_request) = self.requests.get_mut(request) else {
             return self.context.counters.check_invariant(false, "an_attempt_of_an_answered_request");
         };
@@ -85,7 +85,7 @@
             statement: &open_request.statement,
             grant_mb: open_request.grant_mb,
             priority: open_request.priority,
-            deadline,
+            limits,
         };
         let attempt = self.engines.send(engine, call, &open_request.late_connections, &mut self.context);
         open_request.attempts.push(attempt);
--- a/crates/router/src/engine_pool/attempt.rs
+++ b/crates/router/src/engine_pool/attempt.rs
@@ -3,7 +3,7 @@
 use super::commands::{EngineCommand, RunCommand};
 use super::result_pages::ResultPages;
 use crate::slots::Slot;
-use emberflow::{EngineId, RequestId};
+use emberflow::{EngineId, RequestId, SendLimits};
 use std::time::Duration;
 
 /// An attempt to be sent. The request's name, class, idempotency key and statement are forwarded unchanged.
@@ -24,8 +24,8 @@
     pub grant_mb: f64,
     /// The attempt's priority at the engine; a higher number is served first.
     pub priority: u8,
-    /// Time at which the attempt times out, on the router's clock.
-    pub deadline: Duration,
+    /// The times within which the call must be written and the attempt must end, on the router's clock.
+    pub limits: SendLimits,
 }
 
 /// A call that has not been written. The call carries the time left until the deadline, so it is encoded immediately
@@ -89,6 +89,8 @@
     pub sent_at: Duration,
     /// Time at which the attempt times out.
     pub deadline: Duration,
+    /// Time from which the call must not be written, by [`SendLimits::key_window_end`].
+    pub key_window_end: Option<Duration>,
     /// Offset of the call in the stream of all output of its connection; `None` until the call is part of that output.
     pub call_offset: Option<u64>,
     /// Connections that may still deliver a reply to an earlier attempt of the same request.
@@ -115,7 +117,8 @@
             request_name: call.request_name.to_owned(),
             call: Some(UnwrittenCall::new(call)),
             sent_at: now,
-            deadline: call.deadline,
+            deadline: call.limits.timeout_at,
+            key_window_end: call.limits.key_window_end,
             call_offset: None,
             excluded_connections: excluded_connections.to_vec(),
             reassigned: false,
@@ -130,6 +133,16 @@
         self.cancelled_at.is_some()
     }
 
+    /// Returns the times within which the call must be written.
+    pub fn send_limits(&self) -> SendLimits {
+        SendLimits { timeout_at: self.deadline, key_window_end: self.key_window_end }
+    }
+
+    /// Whether the call is not part of any connection's output, so that no byte of it can have been written.
+    pub fn is_unsent(&self) -> bool {
+        self.call_offset.is_none()
+    }
+
     /// Whether any byte of the call is among the first `written` bytes in the stream of its connection's output.
     pub fn write_has_begun(&self, written: u64) -> bool {
         self.call_offset.is_some_and(|offset| written > offset)
--- a/crates/router/src/engine_pool/attempt_lifecycle.rs
+++ b/crates/router/src/engine_pool/attempt_lifecycle.rs
@@ -6,6 +6,7 @@
 use super::result_pages::ResultPages;
 use super::{EnginePool, PoolEvent};
 use crate::context::Context;
+use crate::final_checks::CallRefusal;
 use crate::slots::Slot;
 use crate::timers::Timer;
 use emberflow::{AttemptEnded, AttemptOutcome, EngineId, LoadReport};
@@ -23,7 +24,10 @@
     ) -> Slot {
         let attempt_slot =
             self.attempts.insert(Attempt::new(&call, engine_id, excluded_connections, context.now()));
-        context.timers.set(call.deadline, Timer::AttemptDeadline(attempt_slot));
+        context.timers.set(call.limits.timeout_at, Timer::AttemptDeadline(attempt_slot));
+        if let Some(key_window_end) = call.limits.key_window_end {
+            context.timers.set(key_window_end, Timer::CallExpiry(attempt_slot));
+        }
         context.counters.count("attempts_sent");
         self.assign_connection(attempt_slot, context);
         attempt_slot
@@ -118,6 +122,17 @@
         self.schedule_check(connection, context.now() + self.connect_timeout, context);
     }
 
+    /// Ends an attempt of whose call no byte was written before a condition of the scheduler's decision lapsed. The
+    /// client thus gets its answer at once, and not only when the connection accepts the call or is given up.
+    pub fn call_expired(&mut self, attempt_slot: Slot, context: &mut Context) {
+        let limits = self.attempts.get(attempt_slot).map(Attempt::send_limits);
+        let Some(condition) = limits.and_then(|limits| limits.lapsed_at(context.now())) else { return };
+        self.retract_unsent_call(attempt_slot);
+        if self.attempts.get(attempt_slot).is_some_and(Attempt::is_unsent) {
+            self.refuse_call(attempt_slot, CallRefusal::Lapsed(condition), context);
+        }
+    }
+
     /// Times out an attempt whose deadline has passed. The caller reads the attempt's connection first, so that a
     /// result that arrived in time counts.
     pub fn attempt_overdue(&mut self, attempt_slot: Slot, context: &mut Context) {
@@ -175,6 +190,9 @@
     ) {
         let Some(attempt) = self.attempts.remove(attempt_slot) else { return };
         context.timers.clear(attempt.deadline, Timer::AttemptDeadline(attempt_slot));
+        if let Some(key_window_end) = attempt.key_window_end {
+            context.timers.clear(key_window_end, Timer::CallExpiry(attempt_slot));
+        }
         context.counters.count(outcome_counter(outcome));
         self.release_connection(attempt_slot, &attempt, context);
         let late_connection = late_connection(&attempt, outcome);
@@ -244,5 +262,6 @@
         AttemptOutcome::Broken => "attempts_broken",
         AttemptOutcome::Cancelled => "attempts_cancelled",
         AttemptOutcome::NotSent => "attempts_not_sent",
+        AttemptOutcome::Lapsed(_) => "attempts_lapsed",
     }
 }
--- a/crates/router/src/engine_pool/fingerprint.rs
+++ b/crates/router/src/engine_pool/fingerprint.rs
@@ -75,6 +75,8 @@
 impl Attempt {
     fn fingerprint(&self, time: &RelativeTime, indexes: &BTreeMap<Slot, usize>, hasher: &mut impl Hasher) {
         time.micros(self.deadline).hash(hasher);
+        let key_window_end = self.key_window_end.filter(|_| self.call.is_some());
+        key_window_end.map(|at| time.micros(at)).hash(hasher);
         (self.reassigned, self.resend_disabled, self.call.is_none()).hash(hasher);
         self.cancelled_at.map(|at| time.micros(at)).hash(hasher);
         let excluded = self.excluded_connections.iter().filter_map(|connection| indexes.get(connection));
--- a/crates/router/src/engine_pool/write_queue.rs
+++ b/crates/router/src/engine_pool/write_queue.rs
@@ -6,7 +6,7 @@
 use crate::final_checks::{self, CallRefusal, CallState};
 use crate::slots::Slot;
 use crate::timers::Timer;
-use emberflow::{AttemptOutcome, RequestId};
+use emberflow::RequestId;
 use std::io::{self, Write};
 use std::time::Duration;
 
@@ -80,15 +80,15 @@
             is_engine_ready: self.is_ready(attempt.engine),
             may_client_have_left: attempt.resend_disabled,
             is_cancelled: attempt.is_cancellation_pending(),
-            time_left: attempt.deadline.saturating_sub(now),
+            lapsed: attempt.send_limits().lapsed_at(now),
         })
     }
 
     /// Ends an attempt whose call may no longer be written. The attempt never ran.
-    fn refuse_call(&mut self, attempt_slot: Slot, refusal: CallRefusal, context: &mut Context) {
+    pub(super) fn refuse_call(&mut self, attempt_slot: Slot, refusal: CallRefusal, context: &mut Context) {
         if let Some(attempt) = self.attempts.get(attempt_slot) {
             refusal.record(attempt.request, attempt.number, &mut context.counters);
-            self.end(attempt_slot, AttemptOutcome::NotSent, None, context);
+            self.end(attempt_slot, refusal.outcome(), None, context);
         }
     }
 
--- a/crates/router/src/event_loop.rs
+++ b/crates/router/src/event_loop.rs
@@ -273,7 +273,10 @@
             Timer::ReloadRetry => self.reload(),
             Timer::LingerTimeout(slot) => drop(self.lingering.remove(&slot)),
             Timer::EngineRedial(slot) => self.redial_engine(slot),
-            Timer::SchedulerWakeUp | Timer::ConnectionIdleTimeout(_) | Timer::AdmissionCheck => {}
+            Timer::SchedulerWakeUp
+            | Timer::CallExpiry(_)
+            | Timer::ConnectionIdleTimeout(_)
+            | Timer::AdmissionCheck => {}
         }
     }
 
--- a/crates/router/src/final_checks.rs
+++ b/crates/router/src/final_checks.rs
@@ -2,8 +2,7 @@
 //! since it was decided to send or to close.
 
 use crate::counters::Counters;
-use emberflow::RequestId;
-use std::time::Duration;
+use emberflow::{AttemptOutcome, RequestId, SendCondition};
 
 /// The state on which it depends whether a call may be written.
 #[derive(Clone, Copy, Debug)]
@@ -14,8 +13,8 @@
     pub may_client_have_left: bool,
     /// Whether the attempt was cancelled.
     pub is_cancelled: bool,
-    /// Time until the attempt's deadline; zero once it has passed.
-    pub time_left: Duration,
+    /// The condition of the scheduler's decision that no longer holds; `None` if all hold.
+    pub lapsed: Option<SendCondition>,
 }
 
 /// Why a call must not be written.
@@ -27,8 +26,8 @@
     ClientMayHaveLeft,
     /// The attempt was cancelled.
     Cancelled,
-    /// The attempt's deadline has passed.
-    DeadlinePassed,
+    /// A condition of the scheduler's decision no longer holds.
+    Lapsed(SendCondition),
 }
 
 /// Checks whether a call may be written now.
@@ -42,20 +41,26 @@
         Err(CallRefusal::ClientMayHaveLeft)
     } else if call.is_cancelled {
         Err(CallRefusal::Cancelled)
-    } else if call.time_left.is_zero() {
-        Err(CallRefusal::DeadlinePassed)
     } else {
-        Ok(())
+        call.lapsed.map_or(Ok(()), |condition| Err(CallRefusal::Lapsed(condition)))
     }
 }
 
 impl CallRefusal {
-    /// Counts and logs a call that was not written. Only a passed deadline is expected here. The router detects the
+    /// Returns the outcome of an attempt whose call was refused.
+    pub fn outcome(self) -> AttemptOutcome {
+        match self {
+            Self::Lapsed(condition) => AttemptOutcome::Lapsed(condition),
+            Self::EngineNotReady | Self::ClientMayHaveLeft | Self::Cancelled => AttemptOutcome::NotSent,
+        }
+    }
+
+    /// Counts and logs a call that was not written. Only a lapsed condition is expected here. The router detects the
     /// other reasons earlier and then removes the call from the queue, so each of them violates an invariant.
     pub fn record(self, request: RequestId, attempt: usize, counters: &mut Counters) {
         log::info!("call not written: request={request} attempt={attempt} reason={self:?}");
         match self {
-            Self::DeadlinePassed => counters.count("calls_past_their_deadline"),
+            Self::Lapsed(condition) => counters.count(lapse_counter(condition)),
             Self::EngineNotReady | Self::ClientMayHaveLeft | Self::Cancelled => {
                 counters.check_invariant(false, "invariant_violations")
             }
@@ -63,6 +68,14 @@
     }
 }
 
+/// Returns the name of the counter of calls that were not written because a condition lapsed.
+fn lapse_counter(condition: SendCondition) -> &'static str {
+    match condition {
+        SendCondition::Deadline => "calls_past_their_deadline",
+        SendCondition::KeyWindow => "calls_past_their_key_window",
+    }
+}
+
 /// Why the router closes a client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseReason {
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -131,6 +131,7 @@
         match timer {
             Timer::SchedulerWakeUp => self.scheduler.wake(now, &mut self.dispatcher),
             Timer::AttemptDeadline(slot) => engines.attempt_overdue(slot, context),
+            Timer::CallExpiry(slot) => engines.call_expired(slot, context),
             Timer::ConnectionCheck(slot) => engines.connection_check_due(slot, now, context),
             Timer::ReplyTimeout(slot) => engines.reply_overdue(slot, context),
             Timer::ConnectionIdleTimeout(slot) => engines.connection_idle(slot, context),
--- a/crates/router/src/timers.rs
+++ b/crates/router/src/timers.rs
@@ -33,6 +33,8 @@
     AdmissionCheck,
     /// The next dial of a connection to an engine, after a local failure.
     EngineRedial(Slot),
+    /// The time from which an attempt's call must not be written, if that is before the attempt's deadline.
+    CallExpiry(Slot),
 }
 
 /// The pending timers. The same timer may be pending at several times.
--- a/crates/router/tests/digest/main.rs
+++ b/crates/router/tests/digest/main.rs
@@ -20,7 +20,7 @@
 
 /// The minimum number of times that each case must occur in the scenarios, so that the digest covers it. A case has the
 /// name of an observation of the recorder, or of a counter of the server.
-const MINIMUM_COUNTS: [(&str, u64); 40] = [
+const MINIMUM_COUNTS: [(&str, u64); 41] = [
     ("results", 1000),
     ("status", 200),
     ("wait announced", 200),
@@ -57,6 +57,7 @@
     ("attempts_unreachable", 200),
     ("attempts_broken", 200),
     ("attempts_not_sent", 200),
+    ("attempts_lapsed", 20),
     ("attempts_cancelled_before_retry", 200),
     ("connections_silent", 100),
     ("engine_input_malformed", 50),
@@ -75,40 +76,40 @@
     let observed: String = observed.iter().map(|(kind, count)| format!("{kind}: {count}\n")).collect();
     let digest: String = digest.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
     expect![[r#"
-        attempts retried: 900
-        clients closed: 1709
-        complete lists: 475
-        connections closed: 7142
-        connections dialled: 8112
-        connections refused: 535
-        engine receives CLOSE: 98
-        engine receives DROP: 2984
-        engine receives GET: 8140
-        engine receives PAGE: 618
-        engine receives PING: 2936
-        engine sends DANCE: 35
-        engine sends FAULT: 298
-        engine sends HIT: 3639
-        engine sends INFO: 1225
-        engine sends LATE: 162
-        engine sends SHED: 545
-        error -32000: 1620
-        error -32011: 12420
-        error -32600: 1043
-        error -32601: 198
-        error -32602: 726
-        error -32700: 427
-        graceful shutdowns: 95
-        list changes: 510
-        lists refused: 37
-        processes ended: 21
-        reloads: 190
-        requests sent: 13856
-        results: 2328
-        retry-after named: 6010
-        status: 762
-        wait announced: 1990
-        3654013d3269367755b091e35843b4b0d2b55797cad86c5ad77420dabb52f292
+        attempts retried: 904
+        clients closed: 1680
+        complete lists: 476
+        connections closed: 7190
+        connections dialled: 8147
+        connections refused: 539
+        engine receives CLOSE: 97
+        engine receives DROP: 2995
+        engine receives GET: 8149
+        engine receives PAGE: 596
+        engine receives PING: 2974
+        engine sends DANCE: 36
+        engine sends FAULT: 303
+        engine sends HIT: 3633
+        engine sends INFO: 1233
+        engine sends LATE: 161
+        engine sends SHED: 544
+        error -32000: 1630
+        error -32011: 12277
+        error -32600: 1032
+        error -32601: 202
+        error -32602: 712
+        error -32700: 426
+        graceful shutdowns: 96
+        list changes: 522
+        lists refused: 39
+        processes ended: 25
+        reloads: 198
+        requests sent: 13759
+        results: 2333
+        retry-after named: 5929
+        status: 768
+        wait announced: 1884
+        8680a1caa465ef63614df3e91d911c88bbf5d9bc626e860363a39723921bc6e1
     "#]]
     .assert_eq(&format!("{observed}{digest}\n"));
 }
--- a/crates/router/tests/sockets/main.rs
+++ b/crates/router/tests/sockets/main.rs
@@ -11,5 +11,6 @@
 mod memory;
 mod reload;
 mod requests;
+mod send_conditions;
 mod shutdown;
 mod teams;
--- a/crates/router/tests/unit/engine_pool.rs
+++ b/crates/router/tests/unit/engine_pool.rs
@@ -4,7 +4,7 @@
 use crate::context::Context;
 use crate::discovery::EndpointRecord;
 use crate::slots::Slot;
-use emberflow::{Lifecycle, RequestId};
+use emberflow::{Lifecycle, RequestId, SendLimits};
 use emberflow_peer_protocol::engine::EngineReply;
 use expect_test::expect;
 use std::io::{self, Cursor, Read, Write};
@@ -91,7 +91,7 @@
         statement: b"",
         grant_mb: 0.0,
         priority: 1,
-        deadline,
+        limits: SendLimits { timeout_at: deadline, key_window_end: None },
     }
 }
 
--- a/crates/router/tests/unit/final_checks.rs
+++ b/crates/router/tests/unit/final_checks.rs
@@ -2,26 +2,25 @@
 
 use super::{CallRefusal, CallState, CloseReason, may_close, may_send};
 use crate::counters::Counters;
-use emberflow::RequestId;
-use std::time::Duration;
+use emberflow::{RequestId, SendCondition};
 
 fn sendable_call() -> CallState {
-    CallState {
-        is_engine_ready: true,
-        may_client_have_left: false,
-        is_cancelled: false,
-        time_left: Duration::from_millis(1),
-    }
+    CallState { is_engine_ready: true, may_client_have_left: false, is_cancelled: false, lapsed: None }
+}
+
+fn lapsed(condition: SendCondition) -> CallState {
+    CallState { lapsed: Some(condition), ..sendable_call() }
 }
 
 #[test]
-fn a_call_is_written_only_for_a_waiting_client_to_a_ready_engine_before_its_deadline() {
+fn a_call_is_written_only_for_a_waiting_client_to_a_ready_engine_within_its_limits() {
     assert_eq!(may_send(&sendable_call()), Ok(()));
     let refusals = [
         (CallState { is_engine_ready: false, ..sendable_call() }, CallRefusal::EngineNotReady),
         (CallState { may_client_have_left: true, ..sendable_call() }, CallRefusal::ClientMayHaveLeft),
         (CallState { is_cancelled: true, ..sendable_call() }, CallRefusal::Cancelled),
-        (CallState { time_left: Duration::ZERO, ..sendable_call() }, CallRefusal::DeadlinePassed),
+        (lapsed(SendCondition::Deadline), CallRefusal::Lapsed(SendCondition::Deadline)),
+        (lapsed(SendCondition::KeyWindow), CallRefusal::Lapsed(SendCondition::KeyWindow)),
     ];
     for (call_state, refusal) in refusals {
         assert_eq!(may_send(&call_state), Err(refusal));
@@ -45,10 +44,11 @@
 }
 
 #[test]
-fn a_call_past_its_deadline_is_counted() {
+fn a_lapsed_call_is_counted_by_its_condition() {
     let mut counters = Counters::default();
-    CallRefusal::DeadlinePassed.record(RequestId(1), 0, &mut counters);
-    assert_eq!(counters.to_string(), "calls_past_their_deadline=1");
+    CallRefusal::Lapsed(SendCondition::Deadline).record(RequestId(1), 0, &mut counters);
+    CallRefusal::Lapsed(SendCondition::KeyWindow).record(RequestId(2), 1, &mut counters);
+    assert_eq!(counters.to_string(), "calls_past_their_deadline=1 calls_past_their_key_window=1");
 }
 
 #[test]
--- a/crates/simulator-adapter/src/action_writer.rs
+++ b/crates/simulator-adapter/src/action_writer.rs
@@ -1,7 +1,7 @@
 //! Encodes the scheduler's actions as JSON lines for the simulator.
 
 use crate::names::Names;
-use emberflow::{Actions, EngineId, RequestId};
+use emberflow::{Actions, EngineId, RequestId, SendLimits};
 use emberflow_settings::to_ms;
 use serde_json::{Value, json};
 use std::io::Write;
@@ -35,8 +35,9 @@
 }
 
 impl Actions for ActionWriter<'_> {
-    fn send(&mut self, request: RequestId, engine: EngineId, until: Duration) {
-        let abandon_at = to_ms(until.max(self.now));
+    fn send(&mut self, request: RequestId, engine: EngineId, limits: SendLimits) {
+        // The simulator sends the attempt at the time of the decision, so that no other limit can be exceeded.
+        let abandon_at = to_ms(limits.timeout_at.max(self.now));
         self.write(json!({
             "op": "PASS_ON",
             "ref": self.request_name(request),
--- a/src/input.rs
+++ b/src/input.rs
@@ -77,8 +77,18 @@
     pub table_group: Option<u64>,
 }
 
+/// A condition of an attempt that the scheduler has checked when it decided on the attempt, and that may no longer hold
+/// when the attempt is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum SendCondition {
+    /// The attempt has time left.
+    Deadline,
+    /// The engines remember the request's idempotency key until the attempt arrives.
+    KeyWindow,
+}
+
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Hash)]
 pub enum AttemptOutcome {
     /// The engine answered with a result.
     Succeeded,
@@ -96,6 +106,15 @@
     Cancelled,
     /// The attempt was cancelled before it was sent. It never ran.
     NotSent,
+    /// The attempt was not sent, because this condition no longer held when it was to be written. It never ran.
+    Lapsed(SendCondition),
+}
+
+impl AttemptOutcome {
+    /// Returns whether the engine may have run the attempt, at least in part.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Self::Overloaded | Self::Unreachable | Self::NotSent | Self::Lapsed(_))
+    }
 }
 
 /// The end of an attempt, with the usage and the load that the engine reported in its answer.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,13 +25,13 @@
 mod settings;
 mod state;
 
-pub use actions::Actions;
+pub use actions::{Actions, SendLimits};
 pub use fingerprint::{FingerprintContext, HeldCounts};
 pub use handlers::Capacity;
 pub use ids::{EngineId, KeyId, RequestId};
 pub use input::{
     Arrival, AttemptEnded, AttemptOutcome, Endpoint, EndpointUpdate, Lifecycle, LoadReport, ProgressUpdate,
-    Usage,
+    SendCondition, Usage,
 };
 pub use scheduler::Scheduler;
 pub use settings::{AttemptLimits, EngineKind, Fleet, Idempotency, KeyScope, RequestClass, RetryBudget};
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -62,7 +62,7 @@
         let request = &self.requests[&id];
         let grant_mb = self.grant_mb(request, to.kind);
         actions.set_grant_and_priority(id, grant_mb.round(), self.priority(request.class));
-        actions.send(id, to.engine, request.deadline.saturating_sub(self.answer_margin()));
+        actions.send(id, to.engine, self.send_limits(request));
         self.random_draws += 1;
         self.record_sent(now, id, to.engine, to.tier, grant_mb)
     }
@@ -113,7 +113,7 @@
                 too_late.push(id);
             }
         }
-        self.answer_without_result(too_late, actions)
+        self.answer_without_result(snapshot.now, too_late, actions)
     }
 
     /// Returns the shortest objective budget of a usual request, over all classes. It limits the queue time of
--- a/src/policy/deadlines.rs
+++ b/src/policy/deadlines.rs
@@ -41,7 +41,7 @@
                 due.push(*id);
             }
         }
-        self.answer_without_result(due, actions)
+        self.answer_without_result(now, due, actions)
     }
 
     fn is_answer_due(&self, request: &Request, now: Duration, due_by: Duration) -> bool {
@@ -99,11 +99,16 @@
 
     /// Rejects each request that its client may safely retry, and fails the others. Returns whether any request
     /// was answered.
-    pub fn answer_without_result(&mut self, ids: Vec<RequestId>, actions: &mut impl Actions) -> bool {
+    pub fn answer_without_result(
+        &mut self,
+        now: Duration,
+        ids: Vec<RequestId>,
+        actions: &mut impl Actions,
+    ) -> bool {
         let max_retry_after = self.attempt_limits.max_retry_after;
         let retry_after = max_retry_after.map(|longest| self.shortest_objective().min(longest));
         for id in &ids {
-            if self.may_reject(&self.requests[id]) {
+            if self.may_reject(&self.requests[id], now, retry_after) {
                 actions.reject(*id, retry_after);
             } else {
                 actions.fail(*id);
--- a/src/policy/outliers.rs
+++ b/src/policy/outliers.rs
@@ -61,7 +61,7 @@
         ideal_run_seconds: f64,
     ) {
         use AttemptOutcome::{
-            Broken, Cancelled, Failed, NotSent, Overloaded, Succeeded, TimedOut, Unreachable,
+            Broken, Cancelled, Failed, Lapsed, NotSent, Overloaded, Succeeded, TimedOut, Unreachable,
         };
         let engine = self
             .engines
@@ -87,7 +87,7 @@
             }
             // Attempts that break at once, as on one connection, count as one failure: the engine may still be up.
             Broken if !failed_within_last_tick => engine.failures.push(now, 1.0),
-            Broken | Cancelled | NotSent => {}
+            Broken | Cancelled | NotSent | Lapsed(_) => {}
         }
     }
 
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -2,7 +2,7 @@
 
 use crate::samples::seconds;
 use crate::state::{AttemptId, FleetSnapshot, Request, SchedulerState};
-use crate::{Actions, Idempotency, KeyScope};
+use crate::{Actions, Idempotency, KeyScope, SendLimits};
 use std::time::Duration;
 
 /// Remaining time of an attempt, in expected runs, above which the attempt is slow.
@@ -16,23 +16,48 @@
 impl SchedulerState {
     /// Returns whether another attempt is allowed: the request may run again, and has not used all its attempts.
     pub fn may_retry(&self, request: &Request, now: Duration) -> bool {
-        let delivered_by = now + self.answer_margin();
-        let may_run_again =
-            match (&self.classes[request.class].idempotency, request.first_that_may_have_run()) {
-                (Idempotency::Idempotent, _) | (_, None) => true,
-                (Idempotency::NonIdempotent, Some(_)) => false,
-                (Idempotency::IdempotentWithKey { window, .. }, Some(first)) => {
-                    delivered_by < first.sent_at + *window
-                }
+        let may_run_again = request.first_that_may_have_run().is_none()
+            || match &self.classes[request.class].idempotency {
+                Idempotency::Idempotent => true,
+                Idempotency::NonIdempotent => false,
+                Idempotency::IdempotentWithKey { .. } => self.is_key_remembered(request, now),
             };
         may_run_again && request.attempts.len() < self.attempt_limits.max_attempts
     }
 
-    /// Returns whether the request may be rejected. A rejection tells the client that a retry is safe. A retry is
-    /// safe if requests of the class may run again at any engine, or if it is certain that no attempt has run.
-    pub fn may_reject(&self, request: &Request) -> bool {
+    /// Returns the limits of the request's next attempt.
+    pub fn send_limits(&self, request: &Request) -> SendLimits {
+        SendLimits {
+            timeout_at: request.deadline.saturating_sub(self.answer_margin()),
+            key_window_end: self.key_window_end(request),
+        }
+    }
+
+    /// Returns the time from which no attempt of the request may be written, because the engines may forget its
+    /// idempotency key before the attempt arrives; `None` if the request has no key or no attempt of it may have run.
+    fn key_window_end(&self, request: &Request) -> Option<Duration> {
+        let Idempotency::IdempotentWithKey { window, .. } = &self.classes[request.class].idempotency else {
+            return None;
+        };
+        let first = request.first_that_may_have_run()?;
+        Some((first.sent_at + *window).saturating_sub(self.answer_margin()))
+    }
+
+    /// Returns whether an attempt that is written at `at` is recognized as a repeat by the engines that know the
+    /// request's idempotency key. Also true without a key.
+    fn is_key_remembered(&self, request: &Request, at: Duration) -> bool {
+        self.key_window_end(request).is_none_or(|end| at < end)
+    }
+
+    /// Returns whether the request may be rejected. A rejection tells the client that a retry is safe after
+    /// `retry_after`. A retry is safe if requests of the class may run again at any engine, if all engines still
+    /// remember the request's idempotency key by then, or if it is certain that no attempt has run.
+    pub fn may_reject(&self, request: &Request, now: Duration, retry_after: Option<Duration>) -> bool {
         match &self.classes[request.class].idempotency {
-            Idempotency::Idempotent | Idempotency::IdempotentWithKey { scope: KeyScope::All, .. } => true,
+            Idempotency::Idempotent => true,
+            Idempotency::IdempotentWithKey { scope: KeyScope::All, .. } => {
+                self.is_key_remembered(request, now + retry_after.unwrap_or_default())
+            }
             _ => request.first_that_may_have_run().is_none(),
         }
     }
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -145,8 +145,7 @@
 
     /// Returns whether the engine may have run the attempt, at least in part. Always true for an attempt in flight.
     pub fn may_have_run(&self) -> bool {
-        let never_ran = [AttemptOutcome::Overloaded, AttemptOutcome::Unreachable, AttemptOutcome::NotSent];
-        self.outcome.is_none_or(|outcome| !never_ran.contains(&outcome))
+        self.outcome.is_none_or(AttemptOutcome::may_have_run)
     }
 
     /// Updates the expected end, assuming that the attempt continues at the pace at which the fraction `done` was
--- a/tests/common/large_fleet.rs
+++ b/tests/common/large_fleet.rs
@@ -78,7 +78,7 @@
 pub struct SentAttempts(pub Vec<(RequestId, EngineId)>);
 
 impl Actions for SentAttempts {
-    fn send(&mut self, request: RequestId, engine: EngineId, _: Duration) {
+    fn send(&mut self, request: RequestId, engine: EngineId, _: SendLimits) {
         self.0.push((request, engine));
     }
     fn set_grant_and_priority(&mut self, _: RequestId, _: f64, _: u8) {}
--- a/tests/digest.rs
+++ b/tests/digest.rs
@@ -59,5 +59,5 @@
         );
     }
     let digest: String = log.digest.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
-    expect!["5b7f7a0e0625171505bc27b73182cae01a0424bfa5152c41b047ec6ca7ca94d3"].assert_eq(&digest);
+    expect!["f191c3c4348e8bd53c5a03cc4896da732258fda683077d5510a3b7aa84c7792e"].assert_eq(&digest);
 }
--- a/tests/digest/log.rs
+++ b/tests/digest/log.rs
@@ -52,7 +52,8 @@
 }
 
 impl Actions for Log {
-    fn send(&mut self, request: RequestId, engine: EngineId, timeout_at: Duration) {
+    fn send(&mut self, request: RequestId, engine: EngineId, limits: SendLimits) {
+        let timeout_at = limits.timeout_at;
         self.add(SEND, &[request.0.into(), engine.0 as u64, nanoseconds(timeout_at)]);
         self.pending.push(PendingAction::Attempt { request, engine, timeout_at });
     }
--- a/tests/trace/action_log.rs
+++ b/tests/trace/action_log.rs
@@ -1,6 +1,6 @@
 //! Records the actions of a scheduler as text.
 
-use emberflow::{Actions, EngineId, RequestId};
+use emberflow::{Actions, EngineId, RequestId, SendLimits};
 use std::fmt::Write;
 use std::time::Duration;
 
@@ -23,8 +23,10 @@
 }
 
 impl Actions for ActionLog {
-    fn send(&mut self, request: RequestId, engine: EngineId, timeout_at: Duration) {
-        self.add(format_args!("request {request} to engine {engine} until {}", timeout_at.as_millis()));
+    fn send(&mut self, request: RequestId, engine: EngineId, limits: SendLimits) {
+        let key_window = limits.key_window_end.map(|end| format!(", written before {}", end.as_millis()));
+        let (until, key_window) = (limits.timeout_at.as_millis(), key_window.unwrap_or_default());
+        self.add(format_args!("request {request} to engine {engine} until {until}{key_window}"));
     }
     fn set_grant_and_priority(&mut self, request: RequestId, grant_mb: f64, priority: u8) {
         self.add(format_args!("request {request} gets {grant_mb} MB, priority {priority}"));
--- a/tests/traces/retries.rs
+++ b/tests/traces/retries.rs
@@ -35,7 +35,7 @@
         0     request 0 gets 375 MB, priority 1
         0     request 0 to engine 2 until 7980
         50    request 0 gets 375 MB, priority 1
-        50    request 0 to engine 3 until 7980
+        50    request 0 to engine 3 until 7980, written before 680
         690   fail request 0
     "#]]
     .assert_eq(&trace.decisions());
@@ -131,3 +131,38 @@
     "#]]
     .assert_eq(&trace.decisions());
 }
+
+/// Guards against a rejection that calls a retry safe although the engines have forgotten the request's key, or will have
+/// forgotten it by the time that the rejection names.
+#[test]
+fn a_request_with_an_idempotency_key_is_rejected_only_while_its_key_is_remembered() {
+    let everywhere = || Idempotency::IdempotentWithKey { scope: KeyScope::All, window: ms(700) };
+    let mut decisions = String::new();
+    for lapses_at in [250, 350, 680] {
+        let mut trace = Trace::new(2, |_, classes, attempt_limits| {
+            classes[SHORT].idempotency = everywhere();
+            attempt_limits.max_attempts = 2;
+        });
+        trace.accept(SHORT, 100, 300.0).at(50).ended(0, 0, 0, Broken);
+        trace.at(lapses_at).ended(0, 1, 1, Lapsed(SendCondition::KeyWindow));
+        decisions.push_str(&trace.decisions());
+    }
+    expect![[r#"
+        0     request 0 gets 375 MB, priority 1
+        0     request 0 to engine 0 until 7980
+        50    request 0 gets 375 MB, priority 1
+        50    request 0 to engine 1 until 7980, written before 680
+        250   reject request 0, retry after 400
+        0     request 0 gets 375 MB, priority 1
+        0     request 0 to engine 0 until 7980
+        50    request 0 gets 375 MB, priority 1
+        50    request 0 to engine 1 until 7980, written before 680
+        350   fail request 0
+        0     request 0 gets 375 MB, priority 1
+        0     request 0 to engine 0 until 7980
+        50    request 0 gets 375 MB, priority 1
+        50    request 0 to engine 1 until 7980, written before 680
+        680   fail request 0
+    "#]]
+    .assert_eq(&decisions);
+}
