Retry budget, slow start and placement are checked again when a call is written

Need: the key's window was one of several conditions that held at the decision and were not looked at again when the call was written, up to two connect timeouts later. Found by going through the seven rules: a retry was written when the requests that had allowed it no longer counted (rule 7), attempts that had waited for their connections reached a warming engine together (rule 4), a call could go to an engine whose location had changed (rule 6). And the windows counted from the decision: a retry that still fitted the window of its key was refused if the first call had waited.

Change: src/policy/send_conditions.rs says which condition of an undelivered attempt has lapsed; the router asks directly before the write, for each waiting call in turn, reports what lapsed as the attempt's outcome and counts it by reason. The first byte that is written is told to the scheduler, and work, retries and windows move to that time. What lapsed uses no budget.

--- a/crates/model-checker/src/mutants.rs
+++ b/crates/model-checker/src/mutants.rs
@@ -67,7 +67,12 @@
         "request.attempts.len() < self.attempt_limits.max_attempts",
         "request.attempts.len() <= self.attempt_limits.max_attempts",
     ),
-    scheduler("window doubled", RETRIES, "(first.sent_at + *window)", "(first.sent_at + *window * 2)"),
+    scheduler(
+        "window doubled",
+        RETRIES,
+        "(first.key_window_start() + *window)",
+        "(first.key_window_start() + *window * 2)",
+    ),
     scheduler(
         "cell ignored",
         PLACEMENT,
@@ -145,8 +150,8 @@
     scheduler(
         "two in a warming engine's window",
         SLOW_START,
-        "sent_work + usual_work <= budget.max(usual_work)",
-        "sent_work <= budget.max(usual_work)",
+        "sent_work + usual_work <= max_work",
+        "sent_work <= max_work",
     ),
     scheduler(
         "slow start window halved",
--- a/crates/model-checker/src/router_model/apply/engines.rs
+++ b/crates/model-checker/src/router_model/apply/engines.rs
@@ -69,6 +69,7 @@
 
     /// Writes the pending output of a connection to its engine, which reads the complete commands.
     pub(super) fn flush_to_engine(&mut self, connection: Slot) {
+        self.state.server.end_lapsed_attempts(connection);
         let Some(peer) = self.state.engine_peers.get_mut(&connection) else { return };
         let Dispatcher { engines, context, .. } = &mut self.state.server.dispatcher;
         engines.flush(connection, peer, context).expect("a write to a peer without a limit does not fail");
--- a/crates/router/src/engine_pool.rs
+++ b/crates/router/src/engine_pool.rs
@@ -46,6 +46,15 @@
         /// The connection on which the engine may still reply to the attempt; `None` if no reply can follow.
         late_connection: Option<Slot>,
     },
+    /// The first byte of an attempt's call was written.
+    Written {
+        /// The request that the attempt serves.
+        request: RequestId,
+        /// The attempt's number within its request.
+        attempt: usize,
+        /// The time of the write.
+        at: Duration,
+    },
     /// An engine reported the progress of an attempt.
     Progress {
         /// The request that the attempt serves.
--- a/crates/router/src/engine_pool/attempt_lifecycle.rs
+++ b/crates/router/src/engine_pool/attempt_lifecycle.rs
@@ -9,7 +9,7 @@
 use crate::final_checks::CallRefusal;
 use crate::slots::Slot;
 use crate::timers::Timer;
-use emberflow::{AttemptEnded, AttemptOutcome, EngineId, LoadReport};
+use emberflow::{AttemptEnded, AttemptOutcome, EngineId, LoadReport, SendCondition};
 
 impl EnginePool {
     /// Sends an attempt, and returns its slot. The attempt is not sent on any of the `excluded_connections`, because a
@@ -72,6 +72,7 @@
         let is_unsent = attempt.call_offset == Some(connection.output.front_offset());
         if is_unsent {
             connection.output.remove_unsent(call.encoded_bytes);
+            connection.call_in_output = None;
             attempt.call_offset = None;
         }
         is_unsent
@@ -122,7 +123,7 @@
         self.schedule_check(connection, context.now() + self.connect_timeout, context);
     }
 
-    /// Ends an attempt of whose call no byte was written before a condition of the scheduler's decision lapsed. The
+    /// Ends an attempt whose call was not written completely before a condition of the scheduler's decision lapsed. The
     /// client thus gets its answer at once, and not only when the connection accepts the call or is given up.
     pub fn call_expired(&mut self, attempt_slot: Slot, context: &mut Context) {
         let limits = self.attempts.get(attempt_slot).map(Attempt::send_limits);
@@ -133,6 +134,16 @@
         }
     }
 
+    /// Ends an attempt whose call waits on a connection, because a condition of the scheduler's decision lapsed.
+    pub fn refuse_lapsed_call(
+        &mut self,
+        attempt_slot: Slot,
+        condition: SendCondition,
+        context: &mut Context,
+    ) {
+        self.refuse_call(attempt_slot, CallRefusal::Lapsed(condition), context);
+    }
+
     /// Times out an attempt whose deadline has passed. The caller reads the attempt's connection first, so that a
     /// result that arrived in time counts.
     pub fn attempt_overdue(&mut self, attempt_slot: Slot, context: &mut Context) {
--- a/crates/router/src/engine_pool/connection.rs
+++ b/crates/router/src/engine_pool/connection.rs
@@ -41,6 +41,17 @@
     HealthCheck,
 }
 
+/// The call at the end of a connection's output. There is at most one, since a call becomes part of the output only after
+/// all earlier output was written.
+#[derive(Clone, Copy)]
+pub(super) struct CallInOutput {
+    pub attempt: Slot,
+    /// Offset of the call's first byte in the stream of all output.
+    pub start_offset: u64,
+    /// Whether its first byte was written.
+    pub is_begun: bool,
+}
+
 /// A connection to an engine.
 #[derive(Clone)]
 pub(super) struct Connection {
@@ -48,6 +59,8 @@
     pub state: ConnectionState,
     pub input: RingBuffer,
     pub output: RingBuffer,
+    /// The last call that became part of the output.
+    pub call_in_output: Option<CallInOutput>,
     /// The attempts on the connection, by the names of their requests.
     pub attempts: BTreeMap<String, Slot>,
     /// Those of `attempts` whose calls are not part of the output yet, in the order in which they are sent.
@@ -70,6 +83,7 @@
             state: ConnectionState::Connecting,
             input: RingBuffer::default(),
             output: RingBuffer::default(),
+            call_in_output: None,
             attempts: BTreeMap::new(),
             waiting_attempts: Vec::new(),
             dialed_at: now,
--- a/crates/router/src/engine_pool/write_queue.rs
+++ b/crates/router/src/engine_pool/write_queue.rs
@@ -1,7 +1,8 @@
 //! Writes calls and other messages to connections. A call becomes part of a connection's output only after all earlier
 //! output was written, so that a waiting call can still be retracted.
 
-use super::EnginePool;
+use super::connection::CallInOutput;
+use super::{EnginePool, PoolEvent};
 use crate::context::Context;
 use crate::final_checks::{self, CallRefusal, CallState};
 use crate::slots::Slot;
@@ -51,6 +52,20 @@
         attempts.filter(|attempt| attempt.call.is_some()).map(|attempt| attempt.request).collect()
     }
 
+    /// Returns the attempts whose calls wait on a connection, in the order in which they are written. A call of which no
+    /// byte was written waits too. Empty if no call may be written to the connection at present.
+    pub fn waiting_attempts(&mut self, connection_slot: Slot) -> Vec<Slot> {
+        self.requeue_unwritten_call(connection_slot);
+        let connection =
+            self.connections.get(connection_slot).filter(|connection| connection.accepts_calls());
+        connection.map_or_else(Vec::new, |connection| connection.waiting_attempts.clone())
+    }
+
+    /// Returns the request of an attempt, and the attempt's number within it; `None` if the attempt has ended.
+    pub fn request_of(&self, attempt: Slot) -> Option<(RequestId, usize)> {
+        self.attempts.get(attempt).map(|attempt| (attempt.request, attempt.number))
+    }
+
     /// Adds the next waiting call that may be written to a connection's output, if all earlier output was written.
     /// Returns whether a call was added.
     fn start_next_call(&mut self, connection_slot: Slot, context: &mut Context) -> bool {
@@ -99,8 +114,11 @@
         let Some(call) = &mut attempt.call else { return };
         let bytes = call.encode(&attempt.request_name, attempt.deadline.saturating_sub(now));
         call.encoded_bytes = bytes.len();
-        attempt.call_offset = Some(connection.output.end_offset());
+        let start_offset = connection.output.end_offset();
+        attempt.call_offset = Some(start_offset);
         connection.output.push(&bytes);
+        connection.call_in_output =
+            Some(CallInOutput { attempt: attempt_slot, start_offset, is_begun: false });
         log::debug!(
             "call added to connection output: request={} attempt={} connection={connection_slot:?} engine={}",
             attempt.request,
@@ -140,7 +158,9 @@
                 return Ok(());
             };
             connection.output.write_to(socket)?;
-            if !connection.output.is_empty() {
+            let is_all_written = connection.output.is_empty();
+            self.report_begun_call(connection_slot, context.now());
+            if !is_all_written {
                 return Ok(());
             }
             self.drop_written_calls(connection_slot);
@@ -150,6 +170,19 @@
         }
     }
 
+    /// Reports the call in a connection's output to the scheduler once its first byte was written.
+    fn report_begun_call(&mut self, connection_slot: Slot, now: Duration) {
+        let Some(connection) = self.connections.get_mut(connection_slot) else { return };
+        let written = connection.output.front_offset();
+        let begun = connection.call_in_output.as_mut().filter(|call| !call.is_begun);
+        let Some(call) = begun.filter(|call| written > call.start_offset) else { return };
+        call.is_begun = true;
+        if let Some(attempt) = self.attempts.get(call.attempt) {
+            let event = PoolEvent::Written { request: attempt.request, attempt: attempt.number, at: now };
+            self.events.push_back(event);
+        }
+    }
+
     /// Drops the stored copies of the calls that were written completely on a connection. A written call is never sent
     /// on another connection.
     fn drop_written_calls(&mut self, connection_slot: Slot) {
--- a/crates/router/src/event_loop/engine_sockets.rs
+++ b/crates/router/src/event_loop/engine_sockets.rs
@@ -117,6 +117,7 @@
 
     /// Writes the pending output of a connection; closes the connection if that fails.
     pub(super) fn flush_connection(&mut self, slot: Slot) {
+        self.server.end_lapsed_attempts(slot);
         self.scan_clients_of_unwritten_calls(slot);
         let Some(registered) = self.connections.get(&slot) else { return };
         let Dispatcher { engines, context, .. } = &mut self.server.dispatcher;
--- a/crates/router/src/final_checks.rs
+++ b/crates/router/src/final_checks.rs
@@ -73,6 +73,9 @@
     match condition {
         SendCondition::Deadline => "calls_past_their_deadline",
         SendCondition::KeyWindow => "calls_past_their_key_window",
+        SendCondition::Placement => "calls_outside_their_placement",
+        SendCondition::RetryBudget => "calls_over_the_retry_budget",
+        SendCondition::SlowStart => "calls_over_the_slow_start_budget",
     }
 }
 
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -159,6 +159,9 @@
         while let Some(event) = self.dispatcher.engines.events.pop_front() {
             let now = self.dispatcher.context.now();
             match event {
+                PoolEvent::Written { request, attempt, at } => {
+                    self.scheduler.attempt_written(at, request, attempt);
+                }
                 PoolEvent::Progress { request, attempt, progress } => {
                     self.scheduler.progress_updated(now, request, attempt, progress, &mut self.dispatcher);
                 }
@@ -172,6 +175,20 @@
         }
     }
 
+    /// Ends the attempts whose calls wait on a connection and for which a condition of the scheduler's decision no longer
+    /// holds. Must be called directly before the connection is written to. The end of each attempt changes what the
+    /// others may use, so the scheduler handles it before the next is checked.
+    pub fn end_lapsed_attempts(&mut self, connection: Slot) {
+        for attempt_slot in self.dispatcher.engines.waiting_attempts(connection) {
+            let now = self.dispatcher.context.now();
+            let Some((request, attempt)) = self.dispatcher.engines.request_of(attempt_slot) else { continue };
+            let Some(condition) = self.scheduler.lapsed_condition(now, request, attempt) else { continue };
+            let Dispatcher { engines, context, .. } = &mut self.dispatcher;
+            engines.refuse_lapsed_call(attempt_slot, condition, context);
+            self.process_events();
+        }
+    }
+
     /// Records that the engine may still answer an abandoned attempt of the request on this connection.
     fn record_late_connection(&mut self, request: RequestId, connection: Slot) {
         if let Some(request) = self.dispatcher.requests.get_mut(request) {
--- a/crates/router/tests/digest/engines.rs
+++ b/crates/router/tests/digest/engines.rs
@@ -144,6 +144,7 @@
     }
 
     pub fn flush_connection(&mut self, slot: Slot) {
+        self.server.end_lapsed_attempts(slot);
         let Some(connection) = self.connections.get_mut(&slot).filter(|connection| connection.is_established)
         else {
             return;
--- a/crates/router/tests/digest/main.rs
+++ b/crates/router/tests/digest/main.rs
@@ -76,40 +76,40 @@
     let observed: String = observed.iter().map(|(kind, count)| format!("{kind}: {count}\n")).collect();
     let digest: String = digest.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
     expect![[r#"
-        attempts retried: 904
-        clients closed: 1680
-        complete lists: 476
-        connections closed: 7190
-        connections dialled: 8147
-        connections refused: 539
-        engine receives CLOSE: 97
-        engine receives DROP: 2995
-        engine receives GET: 8149
-        engine receives PAGE: 596
-        engine receives PING: 2974
-        engine sends DANCE: 36
-        engine sends FAULT: 303
-        engine sends HIT: 3633
-        engine sends INFO: 1233
-        engine sends LATE: 161
-        engine sends SHED: 544
-        error -32000: 1630
-        error -32011: 12277
-        error -32600: 1032
-        error -32601: 202
-        error -32602: 712
-        error -32700: 426
-        graceful shutdowns: 96
-        list changes: 522
-        lists refused: 39
-        processes ended: 25
-        reloads: 198
-        requests sent: 13759
-        results: 2333
-        retry-after named: 5929
-        status: 768
-        wait announced: 1884
-        8680a1caa465ef63614df3e91d911c88bbf5d9bc626e860363a39723921bc6e1
+        attempts retried: 885
+        clients closed: 1693
+        complete lists: 462
+        connections closed: 7160
+        connections dialled: 8110
+        connections refused: 526
+        engine receives CLOSE: 107
+        engine receives DROP: 3001
+        engine receives GET: 8144
+        engine receives PAGE: 612
+        engine receives PING: 2925
+        engine sends DANCE: 37
+        engine sends FAULT: 301
+        engine sends HIT: 3639
+        engine sends INFO: 1263
+        engine sends LATE: 166
+        engine sends SHED: 549
+        error -32000: 1624
+        error -32011: 12214
+        error -32600: 1042
+        error -32601: 201
+        error -32602: 722
+        error -32700: 415
+        graceful shutdowns: 93
+        list changes: 520
+        lists refused: 34
+        processes ended: 24
+        reloads: 191
+        requests sent: 13702
+        results: 2354
+        retry-after named: 5897
+        status: 754
+        wait announced: 1898
+        8c9b84d448315b3398eb545de8f31818765b9788d1100792b969300c64cb61e1
     "#]]
     .assert_eq(&format!("{observed}{digest}\n"));
 }
--- a/crates/router/tests/sockets/send_conditions.rs
+++ b/crates/router/tests/sockets/send_conditions.rs
@@ -20,6 +20,13 @@
 /// An idempotent request, which leaves an idle connection to the second engine.
 const OTHER_REQUEST: u64 = 2;
 
+/// Window of the retry budget, in which the two requests of [`WaitingRetry`] allow one retry.
+const BUDGET_WINDOW: Duration = Duration::from_millis(1700);
+/// Time from a call to its failure in the test of the retry budget.
+const FAILED_WITHIN_BUDGET_WINDOW: Duration = Duration::from_millis(1300);
+/// Time from a call to a moment at which the requests no longer count for the retry budget.
+const AFTER_BUDGET_WINDOW: Duration = Duration::from_millis(2000);
+
 /// Returns settings in which requests of class `post` have an idempotency key that all engines know. No attempt counts as
 /// inactive and no request as late during the test.
 fn keyed_settings() -> String {
@@ -46,14 +53,19 @@
 
 impl WaitingRetry {
     fn start(name: &str) -> Self {
-        let router = RouterHarness::start(name, 2, &keyed_settings());
+        Self::start_with(name, &keyed_settings(), FAILED_AFTER)
+    }
+
+    /// Starts a router whose first attempt of the keyed request fails this long after its call.
+    fn start_with(name: &str, settings: &str, failed_after: Duration) -> Self {
+        let router = RouterHarness::start(name, 2, settings);
         let mut client = router.connect_client();
         client.send_request_with(&json!({"opkey": "5c0f"}), KEYED_REQUEST, "post");
         let mut engines = router.two_engines_by_first_command();
         let called_at = Instant::now();
         engines[0].next_call();
         serve_request(&mut client, &mut engines[1], OTHER_REQUEST, "lookup", ROWS);
-        sleep_until(called_at + FAILED_AFTER);
+        sleep_until(called_at + failed_after);
         engines[0].send(KEYED_REQUEST, EngineReply::Failed);
         assert_eq!(engines[1].next_command(), "PING 0");
         let second_engine = engines.pop().expect("there are two engines");
@@ -64,7 +76,12 @@
     fn outcome(mut self) -> String {
         let calls = self.second_engine.answer_calls(0);
         let answer = self.client.read_line();
-        let counters = ["attempts_lapsed", "calls_past_their_key_window", "attempts_not_sent"];
+        let counters = [
+            "attempts_lapsed",
+            "calls_past_their_key_window",
+            "calls_over_the_retry_budget",
+            "attempts_not_sent",
+        ];
         format!("calls {calls:?}; {answer}; {}", self.router.finish(&counters))
     }
 }
@@ -123,3 +140,17 @@
         calls []; {"error":{"code":-32000,"message":"given up: it may have run"},"id":1,"jsonrpc":"2.0"}; exit status Some(0): attempts_lapsed=1 calls_past_their_key_window=1
     "#]].assert_eq(&WaitingRetry { router, client, second_engine, called_at }.outcome());
 }
+
+/// Guards against retries beyond the budget: a retry was written when the requests that had allowed it no longer counted.
+#[test]
+fn a_retry_that_waited_for_its_connection_is_not_written_beyond_the_retry_budget() {
+    let window = BUDGET_WINDOW.as_millis();
+    let budget = format!(r#""rules":{{"spareAttempts":0,"extraPerRequest":0.5,"countedOverMs":{window},"#);
+    let settings = keyed_settings().replace(r#""rules":{"#, &budget);
+    let mut retry = WaitingRetry::start_with("retry-budget", &settings, FAILED_WITHIN_BUDGET_WINDOW);
+    sleep_until(retry.called_at + AFTER_BUDGET_WINDOW);
+    retry.second_engine.send_on(0, 0, EngineReply::Pong);
+    expect![[r#"
+        calls []; {"error":{"code":-32011,"data":{"holdoff":400},"message":"bounced: a retry is harmless"},"id":1,"jsonrpc":"2.0"}; exit status Some(0): attempts_lapsed=1 calls_over_the_retry_budget=1
+    "#]].assert_eq(&retry.outcome());
+}
--- a/crates/router/tests/unit/engine_pool.rs
+++ b/crates/router/tests/unit/engine_pool.rs
@@ -72,6 +72,12 @@
         counter.unwrap_or_default().to_owned()
     }
 
+    /// Returns the next event that is not the writing of a call.
+    fn next_event(&mut self) -> Option<PoolEvent> {
+        self.pool.events.retain(|event| !matches!(event, PoolEvent::Written { .. }));
+        self.pool.events.pop_front()
+    }
+
     /// Runs the check of the connection at a time. Returns whether the connection is still open.
     fn check_connection(&mut self, now: Duration) -> bool {
         self.context.now = now;
@@ -183,7 +189,7 @@
     fixture.context.now = timeout * 10;
     fixture.receive(REQUEST_ID, EngineReply::Result { pages: 1, used: None, rows: b"a\tb\tc\n" });
     fixture.pool.attempt_overdue(fixture.attempt, &mut fixture.context);
-    let event = match fixture.pool.events.pop_front() {
+    let event = match fixture.next_event() {
         Some(PoolEvent::Ended { ended, body, .. }) => {
             format!("{:?}, {:?} bytes", ended.outcome, body.map(|body| body.len()))
         }
--- a/crates/router/tests/unit/spoilt_replies.rs
+++ b/crates/router/tests/unit/spoilt_replies.rs
@@ -30,12 +30,12 @@
 
     /// Describes the end of the attempt, the state of its connection and the counters of rejected and repeated replies.
     fn describe_end(&mut self) -> String {
-        let end = match self.pool.events.pop_front() {
+        let end = match self.next_event() {
             Some(PoolEvent::Ended { ended, body, .. }) => {
                 format!("{:?}, {:?} bytes", ended.outcome, body.map(|body| body.len()))
             }
             Some(PoolEvent::Progress { progress, .. }) => format!("{progress:?}"),
-            None => "in flight".to_owned(),
+            Some(PoolEvent::Written { .. }) | None => "in flight".to_owned(),
         };
         let is_open = self.pool.connections.get(self.connection).is_some();
         let counters = self.context.counters.to_string();
--- a/src/fingerprint.rs
+++ b/src/fingerprint.rs
@@ -152,7 +152,7 @@
         let has_window =
             matches!(self.classes[request.class].idempotency, Idempotency::IdempotentWithKey { .. });
         let first = request.first_that_may_have_run().filter(|_| has_window);
-        first.map(|attempt| relative_micros(now, attempt.sent_at)).hash(hasher);
+        first.map(|attempt| relative_micros(now, attempt.key_window_start())).hash(hasher);
         for attempt in &request.attempts {
             hash_attempt(attempt, now, hasher);
             if !context.engines_interchangeable {
--- a/src/handlers.rs
+++ b/src/handlers.rs
@@ -4,8 +4,8 @@
 use crate::samples::duration;
 use crate::state::{FleetSnapshot, SchedulerState};
 use crate::{
-    Actions, Arrival, AttemptEnded, Endpoint, EndpointUpdate, EngineId, LoadReport, ProgressUpdate,
-    RequestId, Scheduler,
+    Actions, Arrival, AttemptEnded, AttemptOutcome, Endpoint, EndpointUpdate, EngineId, LoadReport,
+    ProgressUpdate, RequestId, Scheduler, SendCondition,
 };
 use std::time::Duration;
 
@@ -23,6 +23,9 @@
             self.state.update_from_load_report(now, ended.engine, load, Some(ended.request));
         }
         if let Some(attempt) = self.state.record_ended(&ended) {
+            if matches!(ended.outcome, AttemptOutcome::Lapsed(_)) {
+                self.state.forget_unwritten(&attempt, ended.attempt > 0);
+            }
             self.state.cool_down_key(now, &ended);
             let ideal_run_seconds = self.state.update_estimates_from_outcome(now, &ended, &attempt);
             self.state.update_outlier_detection(now, &ended, &attempt, ideal_run_seconds);
@@ -30,6 +33,24 @@
         self.apply_rules(now, actions);
     }
 
+    /// Records that the first byte of an attempt was written at `now`, which may be later than the decision.
+    pub fn attempt_written(&mut self, now: Duration, request: RequestId, attempt: usize) {
+        self.state.record_written(now, request, attempt);
+    }
+
+    /// Checks an attempt in flight directly before it is written. Returns the condition of the decision that no longer
+    /// holds; the caller must then not write the attempt, and must report it as
+    /// [`AttemptOutcome::Lapsed`](crate::AttemptOutcome::Lapsed). The caller checks the times in
+    /// [`SendLimits`](crate::SendLimits) itself.
+    pub fn lapsed_condition(
+        &self,
+        now: Duration,
+        request: RequestId,
+        attempt: usize,
+    ) -> Option<SendCondition> {
+        self.state.lapsed_condition(now, request, attempt)
+    }
+
     /// Handles the end of a probe; `load_report` is `None` if the engine did not answer.
     pub fn probe_ended(
         &mut self,
--- a/src/input.rs
+++ b/src/input.rs
@@ -85,6 +85,12 @@
     Deadline,
     /// The engines remember the request's idempotency key until the attempt arrives.
     KeyWindow,
+    /// The endpoint list allows the attempt at its engine: by the engine's lifecycle, location, kind and cell.
+    Placement,
+    /// The retry is within the budget of retries of all requests.
+    RetryBudget,
+    /// The attempt fits into the slow-start budget of its engine.
+    SlowStart,
 }
 
 /// How an attempt ended.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 mod placement;
 mod pressure;
 mod retries;
+mod send_conditions;
 mod slow_start;
 mod subsetting;
 mod tiers;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -191,7 +191,7 @@
 
     /// Returns whether the engine accepts requests and is allowed by the request's class. If an earlier attempt
     /// may have run, the engine must also be in the scope of the idempotency key.
-    fn is_allowed(&self, request: &Request, engine: &Engine) -> bool {
+    pub fn is_allowed(&self, request: &Request, engine: &Engine) -> bool {
         let class = &self.classes[request.class];
         let is_allowed_by_class = class.kinds.as_ref().is_none_or(|kinds| kinds.contains(&engine.kind))
             && class.locations.as_ref().is_none_or(|locations| locations.contains(&engine.location));
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -40,7 +40,7 @@
             return None;
         };
         let first = request.first_that_may_have_run()?;
-        Some((first.sent_at + *window).saturating_sub(self.answer_margin()))
+        Some((first.key_window_start() + *window).saturating_sub(self.answer_margin()))
     }
 
     /// Returns whether an attempt that is written at `at` is recognized as a repeat by the engines that know the
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -13,6 +13,16 @@
 /// Upper bound on the length of the window for a single request, in overload windows.
 const MAX_WINDOW_FACTOR: f64 = 1e6;
 
+/// The limit of the work that is sent to an engine while it warms up.
+pub struct SlowStartLimit {
+    /// The length of the time window to which the limit applies.
+    pub window: Duration,
+    /// The largest work in the window, in core-seconds.
+    pub max_work: f64,
+    /// Whether the router's share is smaller than one request, so that one request is allowed in a longer window.
+    pub is_single_request: bool,
+}
+
 impl SchedulerState {
     /// Returns whether the request fits into this router's share of the slow-start budget of an engine. If the
     /// share is smaller than one request, the router may send one request in a longer window. The window starts
@@ -25,17 +35,31 @@
         snapshot: &FleetSnapshot,
     ) -> bool {
         let now = snapshot.now;
-        let Some(budget) = self.slow_start_budget(engine, now, snapshot.slow_start_share) else {
+        let usual_work = self.slow_start_work(request.class);
+        let Some(limit) = self.slow_start_limit(engine, usual_work, now, snapshot.slow_start_share) else {
             return true;
         };
-        let usual_work = self.slow_start_work(request.class);
-        let factor =
-            if usual_work > budget { SINGLE_REQUEST_WINDOW_FACTOR * usual_work / budget } else { 1.0 };
-        let window = self.attempt_limits.overload_window.mul_f64(factor.min(MAX_WINDOW_FACTOR));
+        let SlowStartLimit { window, max_work, .. } = limit;
         let sent_work: f64 = engine.sent_work.since(now.saturating_sub(window)).sum();
         let offset = window.mul_f64(self.slow_start_offset(id, engine));
-        let has_begun = factor == 1.0 || now >= engine.listed_at + offset;
-        sent_work + usual_work <= budget.max(usual_work) && has_begun
+        let has_begun = !limit.is_single_request || now >= engine.listed_at + offset;
+        sent_work + usual_work <= max_work && has_begun
+    }
+
+    /// Returns the limit of the work that a router with this share may send to an engine, for a request that needs
+    /// `usual_work`; `None` once the engine has warmed up.
+    pub fn slow_start_limit(
+        &self,
+        engine: &Engine,
+        usual_work: f64,
+        now: Duration,
+        share: f64,
+    ) -> Option<SlowStartLimit> {
+        let budget = self.slow_start_budget(engine, now, share)?;
+        let is_single_request = usual_work > budget;
+        let factor = if is_single_request { SINGLE_REQUEST_WINDOW_FACTOR * usual_work / budget } else { 1.0 };
+        let window = self.attempt_limits.overload_window.mul_f64(factor.min(MAX_WINDOW_FACTOR));
+        Some(SlowStartLimit { window, max_work: budget.max(usual_work), is_single_request })
     }
 
     /// Returns the random offset of this router's longer window, as a fraction of the window.
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -28,6 +28,17 @@
         self.samples.push_back((now, value));
     }
 
+    /// Returns whether there is a sample that was taken at `at`.
+    pub fn contains(&self, at: Duration) -> bool {
+        self.samples.iter().any(|(sampled_at, _)| *sampled_at == at)
+    }
+
+    /// Removes the newest sample that was taken at `at` and returns its value; `None` if there is none.
+    pub fn remove(&mut self, at: Duration) -> Option<f64> {
+        let position = self.samples.iter().rposition(|(sampled_at, _)| *sampled_at == at)?;
+        self.samples.remove(position).map(|(_, value)| value)
+    }
+
     /// Returns time and value of the newest sample; `None` if the window is empty.
     pub fn last(&self) -> Option<(Duration, f64)> {
         self.samples.back().copied()
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -110,7 +110,10 @@
 #[derive(Clone)]
 pub struct Attempt {
     pub engine: EngineId,
+    /// Time at which the scheduler decided on the attempt.
     pub sent_at: Duration,
+    /// Time at which the first byte of the attempt was written; `None` if it is not known.
+    pub written_at: Option<Duration>,
     /// Time of the last progress update, or of sending if there was none.
     pub last_activity_at: Duration,
     /// Memory grant in MB.
@@ -133,6 +136,7 @@
         Self {
             engine,
             sent_at: now,
+            written_at: None,
             last_activity_at: now,
             grant_mb,
             outcome: None,
@@ -143,6 +147,11 @@
         }
     }
 
+    /// Returns the time from which engines remember the idempotency key of the attempt, at the earliest.
+    pub fn key_window_start(&self) -> Duration {
+        self.written_at.unwrap_or(self.sent_at)
+    }
+
     /// Returns whether the engine may have run the attempt, at least in part. Always true for an attempt in flight.
     pub fn may_have_run(&self) -> bool {
         self.outcome.is_none_or(AttemptOutcome::may_have_run)
--- a/tests/trace/requests.rs
+++ b/tests/trace/requests.rs
@@ -2,7 +2,8 @@
 
 use super::{SHORT, Trace, ms};
 use emberflow::{
-    Arrival, AttemptEnded, AttemptOutcome, EngineId, KeyId, LoadReport, ProgressUpdate, RequestId, Usage,
+    Arrival, AttemptEnded, AttemptOutcome, EngineId, KeyId, LoadReport, ProgressUpdate, RequestId,
+    SendCondition, Usage,
 };
 use std::time::Duration;
 
@@ -67,6 +68,19 @@
         self.end(ended(request, attempt, engine, outcome))
     }
 
+    /// Writes an attempt now.
+    #[allow(dead_code, reason = "not all test programs that use traces write attempts late")]
+    pub fn written(&mut self, request: u32, attempt: usize) -> &mut Self {
+        self.scheduler.attempt_written(self.now(), RequestId(request), attempt);
+        self
+    }
+
+    /// Returns the condition that has lapsed for an attempt that is about to be written now.
+    #[allow(dead_code, reason = "not all test programs that use traces write attempts late")]
+    pub fn lapsed_condition(&self, request: u32, attempt: usize) -> Option<SendCondition> {
+        self.scheduler.lapsed_condition(self.now(), RequestId(request), attempt)
+    }
+
     /// Ends an attempt whose request was answered before.
     #[allow(dead_code, reason = "called by counterexamples that the model checker prints")]
     pub fn ended_after_answer(
--- a/tests/traces/retries.rs
+++ b/tests/traces/retries.rs
@@ -166,3 +166,84 @@
     "#]]
     .assert_eq(&decisions);
 }
+
+/// Guards against a retry that is refused although the engines still remember its key: the window begins when the first
+/// attempt is written, and not when it is decided on.
+#[test]
+fn the_window_of_a_key_begins_when_the_first_attempt_is_written() {
+    let everywhere = Idempotency::IdempotentWithKey { scope: KeyScope::All, window: ms(700) };
+    let mut trace = Trace::new(2, |_, classes, _| classes[SHORT].idempotency = everywhere);
+    trace.accept(SHORT, 100, 300.0).at(200).written(0, 0).at(690).ended(0, 0, 0, Broken);
+    expect![[r#"
+        0     request 0 gets 375 MB, priority 1
+        0     request 0 to engine 0 until 7980
+        690   request 0 gets 375 MB, priority 1
+        690   request 0 to engine 1 until 7980, written before 880
+    "#]]
+    .assert_eq(&trace.decisions());
+}
+
+/// Guards against retries beyond the budget: a retry that waited for its connection was written when the requests that
+/// had allowed it no longer counted.
+#[test]
+fn a_delayed_retry_lapses_when_the_budget_no_longer_allows_it() {
+    let budget = RetryBudget { min_retries: 0.0, per_request: 0.5, window: ms(1000) };
+    let mut trace = Trace::new(4, |_, _, attempt_limits| attempt_limits.retry_budget = Some(budget));
+    trace.accept_many(2, SHORT, 100, 300.0).at(900).ended(0, 0, 0, Overloaded).decisions();
+    let lapses: Vec<_> = [901, 999, 1001].map(|now| trace.at(now).lapsed_condition(0, 1)).into();
+    expect!["[None, None, Some(RetryBudget)]"].assert_eq(&format!("{lapses:?}"));
+    trace.at(1001).ended(0, 1, 1, Lapsed(SendCondition::RetryBudget));
+    trace.accept_many(2, SHORT, 100, 300.0);
+    expect![[r#"
+        1001  reject request 0, retry after 400
+        1001  request 2 gets 375 MB, priority 1
+        1001  request 2 to engine 0 until 8981
+        1001  request 3 gets 375 MB, priority 1
+        1001  request 3 to engine 2 until 8981
+    "#]]
+    .assert_eq(&trace.decisions());
+}
+
+/// Guards against a warming engine that is overloaded by attempts that waited for their connections and are written at
+/// once.
+#[test]
+fn delayed_attempts_lapse_when_the_slow_start_budget_of_their_engine_is_used_up() {
+    let mut trace = Trace::with_engines(1);
+    trace.accept(SHORT, 1500, 300.0).at(10).succeeded_with_usage(0, 0, 1500, 100.0);
+    trace.at(20).update_endpoints(vec![endpoint(0, Lifecycle::Ready, Some(20))]);
+    trace.accept_many(2, SHORT, 1500, 300.0).at(1025).accept_many(2, SHORT, 1500, 300.0).at(1100);
+    let mut lapses = Vec::new();
+    for request in 1..5 {
+        let lapsed = trace.lapsed_condition(request, 0);
+        match lapsed {
+            None => trace.written(request, 0),
+            Some(condition) => trace.ended(request, 0, 0, Lapsed(condition)),
+        };
+        lapses.push(lapsed);
+    }
+    expect![[r#"
+        0     request 0 gets 375 MB, priority 1
+        0     request 0 to engine 0 until 7980
+        20    request 1 gets 375 MB, priority 1
+        20    request 1 to engine 0 until 8000
+        1025  request 2 gets 375 MB, priority 1
+        1025  request 2 to engine 0 until 8000
+        1025  request 3 gets 375 MB, priority 1
+        1025  request 3 to engine 0 until 9005
+        1025  request 4 gets 375 MB, priority 1
+        1025  request 4 to engine 0 until 9005
+        1100  reject request 1, retry after 400
+        [Some(SlowStart), None, None, None]"#]]
+    .assert_eq(&format!("{}{lapses:?}", trace.decisions()));
+}
+
+/// Guards against a call to an engine whose location is no longer allowed for the request's class.
+#[test]
+fn an_attempt_lapses_when_its_engine_moves_to_a_location_that_is_not_allowed() {
+    let mut trace = Trace::new(1, |_, classes, _| classes[SHORT].locations = Some(vec![0]));
+    trace.update_endpoints(vec![Endpoint { location: 0, ..endpoint(0, Lifecycle::Ready, None) }]);
+    trace.accept(SHORT, 100, 300.0);
+    let before = trace.lapsed_condition(0, 0);
+    trace.update_endpoints(vec![Endpoint { location: 1, ..endpoint(0, Lifecycle::Ready, Some(5)) }]);
+    assert_eq!((before, trace.lapsed_condition(0, 0)), (None, Some(SendCondition::Placement)));
+}
