The rest of a partly written call is not written once the call has lapsed

What could be seen: an engine that stops reading takes the first bytes of a call. The call can no longer be retracted, and its rest was written whenever the engine went on reading: after the window of the key, after the deadline, or long after the client had cancelled (with a DROP behind it). An engine runs a call once it has all of it, so this was the same fault as a whole call that is written too late.

Cause: the check before the write looked at calls that had not begun.

Change: a connection knows the limits of the call at the end of its output. If they end while the call is written in part, the connection is closed: the engine has no complete call. The key window's timer does this at once, so that the answer does not wait for the socket; otherwise it is found at the next write. Counted: calls_cut_off.

Tests: engine_pool::tests::partial_calls. Without the check two of them see 61 more bytes at the end of the window and the attempt in flight, a third the rest of a call that was cancelled; with it none is written, and the connection is closed. A call that completes within its limits is written as before.

--- a/crates/router/src/engine_pool/attempt_lifecycle.rs
+++ b/crates/router/src/engine_pool/attempt_lifecycle.rs
@@ -129,8 +129,12 @@
         let limits = self.attempts.get(attempt_slot).map(Attempt::send_limits);
         let Some(condition) = limits.and_then(|limits| limits.lapsed_at(context.now())) else { return };
         self.retract_unsent_call(attempt_slot);
-        if self.attempts.get(attempt_slot).is_some_and(Attempt::is_unsent) {
-            self.refuse_call(attempt_slot, CallRefusal::Lapsed(condition), context);
+        let Some(attempt) = self.attempts.get(attempt_slot) else { return };
+        match attempt.connection {
+            Some(connection) if !attempt.is_unsent() => {
+                self.close_if_partial_call_lapsed(connection, context);
+            }
+            _ => self.refuse_call(attempt_slot, CallRefusal::Lapsed(condition), context),
         }
     }
 
@@ -161,6 +165,7 @@
         unsent_outcome: AttemptOutcome,
         context: &mut Context,
     ) {
+        self.limit_abandoned_call(attempt_slot, context.now());
         if self.attempts.get(attempt_slot).is_some_and(Attempt::is_cancellation_pending) {
             return self.end(attempt_slot, outcome, None, context);
         }
--- a/crates/router/src/engine_pool/connection.rs
+++ b/crates/router/src/engine_pool/connection.rs
@@ -4,7 +4,7 @@
 use crate::ring::RingBuffer;
 use crate::slots::Slot;
 use crate::timers::Timer;
-use emberflow::EngineId;
+use emberflow::{EngineId, SendLimits};
 use std::collections::BTreeMap;
 use std::io;
 use std::time::Duration;
@@ -48,10 +48,21 @@
     pub attempt: Slot,
     /// Offset of the call's first byte in the stream of all output.
     pub start_offset: u64,
+    /// Offset behind the call's last byte.
+    pub end_offset: u64,
+    /// The times within which the call must be written completely. An engine runs a call only once it has all of it.
+    pub limits: SendLimits,
     /// Whether its first byte was written.
     pub is_begun: bool,
 }
 
+impl CallInOutput {
+    /// Whether a part of the call was written, and the rest was not.
+    pub fn is_partly_written(&self, output: &RingBuffer) -> bool {
+        (self.start_offset + 1..self.end_offset).contains(&output.front_offset())
+    }
+}
+
 /// A connection to an engine.
 #[derive(Clone)]
 pub(super) struct Connection {
@@ -104,6 +115,11 @@
         self.state == ConnectionState::Established
     }
 
+    /// Returns the call of which a part was written and the rest was not; `None` if there is none.
+    pub fn partly_written_call(&self) -> Option<CallInOutput> {
+        self.call_in_output.filter(|call| call.is_partly_written(&self.output))
+    }
+
     /// Ends the health check in progress after a reply of the engine. Returns whether a health check was in progress.
     pub fn pass_health_check(&mut self) -> bool {
         let was_checked = self.state == ConnectionState::HealthCheck;
--- a/crates/router/src/engine_pool/fingerprint.rs
+++ b/crates/router/src/engine_pool/fingerprint.rs
@@ -66,6 +66,10 @@
         }
         buffered.hash(hasher);
         (self.engine, self.state, self.attempts.len(), self.waiting_attempts.len()).hash(hasher);
+        if let Some(call) = self.partly_written_call() {
+            time.micros(call.limits.timeout_at).hash(hasher);
+            call.limits.key_window_end.map(|at| time.micros(at)).hash(hasher);
+        }
         let times =
             [Some(self.dialed_at), Some(self.last_reply_at), self.check_due, self.reply_due, self.idle_due];
         times.map(|at| at.map(|at| time.micros(at))).hash(hasher);
--- a/crates/router/src/engine_pool/write_queue.rs
+++ b/crates/router/src/engine_pool/write_queue.rs
@@ -1,7 +1,7 @@
 //! Writes calls and other messages to connections. A call becomes part of a connection's output only after all earlier
 //! output was written, so that a waiting call can still be retracted.
 
-use super::connection::CallInOutput;
+use super::connection::{CallInOutput, Connection, Reachability};
 use super::{EnginePool, PoolEvent};
 use crate::context::Context;
 use crate::final_checks::{self, CallRefusal, CallState};
@@ -11,6 +11,10 @@
 use std::io::{self, Write};
 use std::time::Duration;
 
+/// Time after an attempt was abandoned within which the rest of its call may still be written. It is shorter than the
+/// time of 100 ms after which an attempt must not begin for a client that has left.
+const ABANDONED_CALL_GRACE: Duration = Duration::from_millis(50);
+
 impl EnginePool {
     /// Assigns an attempt to a connection, where its call waits until it can be written.
     pub(super) fn enqueue_call(&mut self, attempt_slot: Slot, connection_slot: Slot, context: &mut Context) {
@@ -111,14 +115,20 @@
     fn encode_call(&mut self, attempt_slot: Slot, connection_slot: Slot, now: Duration) {
         let Some(connection) = self.connections.get_mut(connection_slot) else { return };
         let Some(attempt) = self.attempts.get_mut(attempt_slot) else { return };
+        let limits = attempt.send_limits();
         let Some(call) = &mut attempt.call else { return };
         let bytes = call.encode(&attempt.request_name, attempt.deadline.saturating_sub(now));
         call.encoded_bytes = bytes.len();
         let start_offset = connection.output.end_offset();
         attempt.call_offset = Some(start_offset);
         connection.output.push(&bytes);
-        connection.call_in_output =
-            Some(CallInOutput { attempt: attempt_slot, start_offset, is_begun: false });
+        connection.call_in_output = Some(CallInOutput {
+            attempt: attempt_slot,
+            start_offset,
+            end_offset: connection.output.end_offset() - call.followed_by.len() as u64,
+            limits,
+            is_begun: false,
+        });
         log::debug!(
             "call added to connection output: request={} attempt={} connection={connection_slot:?} engine={}",
             attempt.request,
@@ -152,6 +162,9 @@
         context: &mut Context,
     ) -> io::Result<()> {
         self.requeue_unwritten_call(connection_slot);
+        if self.close_if_partial_call_lapsed(connection_slot, context) {
+            return Ok(());
+        }
         loop {
             let connection = self.connections.get_mut(connection_slot);
             let Some(connection) = connection.filter(|connection| connection.is_established()) else {
@@ -183,6 +196,36 @@
         }
     }
 
+    /// Closes a connection with a call of which only a part was written, if the rest must not be written any more. The
+    /// engine then has no complete call, and does not run it. Returns whether the connection was closed.
+    pub(super) fn close_if_partial_call_lapsed(
+        &mut self,
+        connection_slot: Slot,
+        context: &mut Context,
+    ) -> bool {
+        let connection = self.connections.get(connection_slot);
+        let Some(call) = connection.and_then(Connection::partly_written_call) else { return false };
+        let Some(condition) = call.limits.lapsed_at(context.now()) else { return false };
+        context.counters.count("calls_cut_off");
+        log::info!("call cut off: connection={connection_slot:?} reason={condition:?}");
+        let reason = "a call was written only in part when its limits ended";
+        self.close_connection(connection_slot, reason, Reachability::Reachable, context);
+        true
+    }
+
+    /// Ends the writing of an abandoned call shortly: an engine must not begin to run a call long after it was
+    /// abandoned, even if a part of the call was written before.
+    pub(super) fn limit_abandoned_call(&mut self, attempt_slot: Slot, now: Duration) {
+        let connection_slot = self.attempts.get(attempt_slot).and_then(|attempt| attempt.connection);
+        let Some(connection) = connection_slot.and_then(|slot| self.connections.get_mut(slot)) else {
+            return;
+        };
+        let call = connection.call_in_output.as_mut();
+        if let Some(call) = call.filter(|call| call.attempt == attempt_slot) {
+            call.limits.timeout_at = now + ABANDONED_CALL_GRACE;
+        }
+    }
+
     /// Drops the stored copies of the calls that were written completely on a connection. A written call is never sent
     /// on another connection.
     fn drop_written_calls(&mut self, connection_slot: Slot) {
--- a/crates/router/tests/unit/engine_pool.rs
+++ b/crates/router/tests/unit/engine_pool.rs
@@ -10,6 +10,7 @@
 use std::io::{self, Cursor, Read, Write};
 use std::time::Duration;
 
+mod partial_calls;
 mod reply_limits;
 mod spoilt_replies;
 
