Model checker: late writes of calls, and a router that stands still

Need: no model had an attempt whose call waits past a limit of the decision. The router's model had keyed requests, and no invariant on the window of their key; the pool's attempts had no limit but their deadline; timers were never late.

Change: the router's model gets "remembered key" (a keyed request that may have run arrives again only within its window), and the scenario "idempotency key, late write", in which the router stands still for 40 ms once, longer than its margin before the end of a window. The pool's narrow connection gets key windows and "no overdue call" (no call arrives completely after its window, or 100 ms after the end of its attempt). Three mutants are planted in the write queue.

--- a/crates/model-checker/src/connection_model/apply.rs
+++ b/crates/model-checker/src/connection_model/apply.rs
@@ -92,6 +92,7 @@
         let number = state.attempts.iter().filter(|attempt| attempt.request == request).count();
         let (id, statement) = (request_id(request as u64), statement(request, number));
         let deadline = state.now + CALL_TIMEOUT;
+        let key_window_end = self.scenario.key_window.map(|window| state.now + window);
         let call = Call {
             request: RequestId::from_index(request),
             number,
@@ -101,7 +102,7 @@
             statement: statement.as_bytes(),
             grant_mb: 0.0,
             priority: PRIORITY,
-            limits: SendLimits { timeout_at: deadline, key_window_end: None },
+            limits: SendLimits { timeout_at: deadline, key_window_end },
         };
         let late_answers = state.late_answers.iter().filter(|answer| answer.request == request);
         let excluded: Vec<Slot> = late_answers.map(|answer| answer.connection).collect();
@@ -111,7 +112,9 @@
             number,
             slot,
             deadline,
+            key_window_end,
             outcome: None,
+            ended_at: None,
             arrivals: 0,
             pages: None,
             has_progress_update: false,
@@ -243,7 +246,10 @@
             return;
         };
         self.check(&Event::AttemptEnds { attempt, outcome, body, cause: self.cause });
-        self.state.attempts[attempt].outcome = Some(outcome);
+        let ended_at = self.state.now;
+        let record = &mut self.state.attempts[attempt];
+        record.outcome = Some(outcome);
+        record.ended_at = Some(ended_at);
     }
 
     /// Lets the pool write to a connection as many bytes as the engine accepts, and the engine read the complete
--- a/crates/model-checker/src/connection_model/invariants.rs
+++ b/crates/model-checker/src/connection_model/invariants.rs
@@ -48,6 +48,11 @@
         description: "the router does not begin a call to an engine that was reported as draining",
         is_violated: begins_call_after_drain,
     },
+    Invariant {
+        name: "no overdue call",
+        description: "no call arrives completely after the window of its key, or more than 100 ms after the end of its attempt",
+        is_violated: delivers_overdue_call,
+    },
     Invariant {
         name: "clean pool",
         description: "at the end no attempt, connection, timer or byte of a result remains",
@@ -106,6 +111,10 @@
     matches!(event, Event::CallBegins) && !state.engine_is_ready
 }
 
+fn delivers_overdue_call(_: &ConnectionScenario, state: &ConnectionState, event: &Event) -> bool {
+    matches!(event, Event::CallArrives { attempt } if state.is_call_overdue(&state.attempts[*attempt]))
+}
+
 fn retains_state_at_end(_: &ConnectionScenario, state: &ConnectionState, event: &Event) -> bool {
     let PoolSize { connections, attempts, .. } = state.engines.size();
     let remaining = connections + attempts + state.context.timers.len() + state.engine_sides.len();
--- a/crates/model-checker/src/connection_model/scenario.rs
+++ b/crates/model-checker/src/connection_model/scenario.rs
@@ -1,5 +1,7 @@
 //! The definition of a scenario of the connection model.
 
+use std::time::Duration;
+
 /// A message, or half of one, that the scripted engine sends.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum EngineMessage {
@@ -71,6 +73,8 @@
     pub max_calls_per_connection: usize,
     /// Number of bytes that a connection accepts before it blocks for the first time; `None` for no limit.
     pub initial_capacity: Option<usize>,
+    /// Time after the start of an attempt from which its call must not be written; `None` for no limit.
+    pub key_window: Option<Duration>,
     /// Whether attempts in flight may be cancelled.
     pub cancels: bool,
     /// Whether the option `--short` selects the scenario.
@@ -90,6 +94,7 @@
         max_connections: 2,
         max_calls_per_connection: 2,
         initial_capacity: None,
+        key_window: None,
         cancels: true,
         in_short_set: true,
     };
--- a/crates/model-checker/src/connection_model/scenarios.rs
+++ b/crates/model-checker/src/connection_model/scenarios.rs
@@ -1,6 +1,7 @@
 //! The scenarios of the connection model.
 
 use super::scenario::{ConnectionScenario, EndpointChange, EngineMessage};
+use std::time::Duration;
 
 /// The messages that conform to the protocol, each in one piece.
 const WELL_FORMED: &[EngineMessage] = &[
@@ -13,6 +14,9 @@
     EngineMessage::Pong,
 ];
 
+/// Time after the start of an attempt from which its call must not be written, shorter than a call's timeout.
+const KEY_WINDOW: Duration = Duration::from_millis(150);
+
 /// All scenarios of the connection model.
 pub const SCENARIOS: &[ConnectionScenario] = &[
     ConnectionScenario {
@@ -81,11 +85,12 @@
     },
     ConnectionScenario {
         name: "a narrow connection",
-        description: "one request with two attempts on sockets that block after ten bytes, a drain or a restart, one reset",
+        description: "one request with two attempts and key windows on sockets that block after ten bytes, a drain or a restart, one reset",
         messages: &[EngineMessage::Result, EngineMessage::Pong],
         max_faults: 1,
         endpoint_changes: &[EndpointChange::Drains, EndpointChange::Restarts],
         initial_capacity: Some(10),
+        key_window: Some(KEY_WINDOW),
         ..ConnectionScenario::BASE
     },
     ConnectionScenario {
--- a/crates/model-checker/src/connection_model/state.rs
+++ b/crates/model-checker/src/connection_model/state.rs
@@ -18,6 +18,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The port of the first engine and of its replacement.
 const ENGINE_PORT: u16 = 9;
+/// Time after the end of an attempt within which its call may still arrive at the engine.
+const ABANDONED_CALL_LIMIT: Duration = Duration::from_millis(100);
 /// The id of the engine that is listed at the start.
 pub const FIRST_ENGINE: u32 = 7;
 /// The id of the engine that may replace the first one at its address.
@@ -83,8 +85,12 @@
     pub slot: Slot,
     /// The time at which the attempt times out.
     pub deadline: Duration,
+    /// The time from which the call must not be written; `None` for no limit.
+    pub key_window_end: Option<Duration>,
     /// The outcome that the pool has reported; `None` while the attempt is in flight.
     pub outcome: Option<AttemptOutcome>,
+    /// The time at which the pool has reported the outcome.
+    pub ended_at: Option<Duration>,
     /// Number of complete arrivals of the call at an engine.
     pub arrivals: u8,
     /// Number of pages of the engine's answer, 0 for an answer without a result; `None` before an answer.
@@ -170,6 +176,14 @@
         }
     }
 
+    /// Whether an engine must not get the call of an attempt any more: the key window of the attempt has ended, or the
+    /// attempt ended longer ago than the rest of a partly written call may take.
+    pub fn is_call_overdue(&self, attempt: &AttemptRecord) -> bool {
+        let is_after_key_window = attempt.key_window_end.is_some_and(|end| self.now >= end);
+        let is_after_end = attempt.ended_at.is_some_and(|at| self.now > at + ABANDONED_CALL_LIMIT);
+        is_after_key_window || is_after_end
+    }
+
     /// Returns events that a faulty pool could emit in this state, to find the invariants that the state exercises.
     pub fn hypothetical_events(&self) -> Vec<Event> {
         let mut events =
@@ -207,6 +221,12 @@
             let time_left = is_in_flight.then(|| attempt.deadline.saturating_sub(self.now));
             (attempt.request, time_left, attempt.outcome, attempt.arrivals).hash(&mut hasher);
             (attempt.pages, attempt.has_progress_update, connection).hash(&mut hasher);
+            // Only a call that has not arrived can become overdue.
+            let is_overdue = attempt.arrivals == 0 && self.is_call_overdue(attempt);
+            let is_expected = attempt.arrivals == 0 && !is_overdue;
+            let key_window_left = attempt.key_window_end.map(|end| end.saturating_sub(self.now));
+            let time_since_end = attempt.ended_at.map(|at| self.now - at);
+            (is_overdue, is_expected.then_some((key_window_left, time_since_end))).hash(&mut hasher);
         }
         for answer in &self.late_answers {
             (answer.request, position_of.get(&answer.connection)).hash(&mut hasher);
--- a/crates/model-checker/src/mutants.rs
+++ b/crates/model-checker/src/mutants.rs
@@ -48,6 +48,7 @@
 const POOL_REPLIES: &str = "crates/router/src/engine_pool/replies.rs";
 const POOL_REPLY: &str = "crates/router/src/engine_pool/reply.rs";
 const POOL_REPLY_FIELDS: &str = "crates/router/src/engine_pool/reply_fields.rs";
+const POOL_WRITE_QUEUE: &str = "crates/router/src/engine_pool/write_queue.rs";
 const POOL_RESULT_PAGES: &str = "crates/router/src/engine_pool/result_pages.rs";
 
 /// Returns a mutant of the reader of the discovery connection.
@@ -216,6 +217,24 @@
         "due_by >= self.shutdown_at || request.is_queued()",
         "request.is_queued()",
     ),
+    Mutant {
+        name: "limits ignored at the write",
+        file: POOL_WRITE_QUEUE,
+        from: "lapsed: attempt.send_limits().lapsed_at(now),",
+        to: "lapsed: None,",
+    },
+    Mutant {
+        name: "a partly written call is always completed",
+        file: POOL_WRITE_QUEUE,
+        from: "let Some(condition) = call.limits.lapsed_at(context.now()) else { return false };",
+        to: "let Some(condition) = call.limits.lapsed_at(context.now()).filter(|_| false) else { return false };",
+    },
+    Mutant {
+        name: "an abandoned call is completed later",
+        file: POOL_WRITE_QUEUE,
+        from: "call.limits.timeout_at = now + ABANDONED_CALL_GRACE;",
+        to: "call.limits.timeout_at += now;",
+    },
     Mutant {
         name: "unwritten calls kept at a drain",
         file: POOL_ATTEMPT,
--- a/crates/model-checker/src/router_model/apply.rs
+++ b/crates/model-checker/src/router_model/apply.rs
@@ -3,7 +3,7 @@
 mod clients;
 mod engines;
 
-use super::scenario::RouterScenario;
+use super::scenario::{RouterScenario, STALL};
 use super::state::{Event, RouterState, endpoint_record};
 use super::transition::Transition;
 use crate::invariants::first_violated;
@@ -61,6 +61,7 @@
             Transition::DrainEngine => self.drain_engine(),
             Transition::Terminate => self.terminate(),
             Transition::PassTime => self.pass_time(),
+            Transition::Stall => self.stall(),
         }
     }
 
@@ -83,6 +84,14 @@
         self.state.server.begin_shutdown();
     }
 
+    fn stall(&mut self) {
+        let to = self.state.now + STALL;
+        self.check(&Event::TimePasses { to });
+        self.state.stalls += 1;
+        self.state.now = to;
+        self.state.server.context().now = to;
+    }
+
     fn pass_time(&mut self) {
         let now = self.state.now;
         let to = self.state.server.context().timers.next_expiry().map_or(now, |at| at.max(now));
--- a/crates/model-checker/src/router_model/apply/clients.rs
+++ b/crates/model-checker/src/router_model/apply/clients.rs
@@ -72,6 +72,7 @@
                     id,
                     request_number,
                     is_non_idempotent: class == "post",
+                    has_idempotency_key: class == "book",
                     deadline: self.state.now + CLIENT_TIMEOUT,
                     answers: 0,
                     is_cancelled: false,
--- a/crates/model-checker/src/router_model/apply/engines.rs
+++ b/crates/model-checker/src/router_model/apply/engines.rs
@@ -88,6 +88,7 @@
                     request_number,
                     request,
                     connection,
+                    arrived_at: self.state.now,
                     has_ended: false,
                     may_have_run: true,
                 });
--- a/crates/model-checker/src/router_model/invariants.rs
+++ b/crates/model-checker/src/router_model/invariants.rs
@@ -28,6 +28,11 @@
         description: "a non-idempotent request arrives at an engine again only if all its earlier calls were rejected as overloaded",
         is_violated: runs_again,
     },
+    Invariant {
+        name: "remembered key",
+        description: "a request with an idempotency key that may have run arrives at an engine again only while engines remember the key",
+        is_violated: runs_after_key_window,
+    },
     Invariant {
         name: "no call after the end",
         description: "nothing is sent for a request that was answered or cancelled",
@@ -80,6 +85,12 @@
     state.requests[request].is_non_idempotent && has_run
 }
 
+fn runs_after_key_window(_: &RouterScenario, state: &RouterState, event: &Event) -> bool {
+    let Event::CallArrives { request_number } = event else { return false };
+    let Some(request) = state.open_request(*request_number) else { return false };
+    state.key_window_left(request) == Some(Duration::ZERO)
+}
+
 fn calls_for_closed_request(_: &RouterScenario, state: &RouterState, event: &Event) -> bool {
     let Event::CallArrives { request_number } = event else { return false };
     state.open_request(*request_number).is_none()
--- a/crates/model-checker/src/router_model/scenario.rs
+++ b/crates/model-checker/src/router_model/scenario.rs
@@ -4,6 +4,11 @@
 
 /// The timeout that clients send with every request; equals the deadline of every class in [`CONFIGURATION`].
 pub const CLIENT_TIMEOUT: Duration = Duration::from_millis(320);
+/// How long engines remember the idempotency key of a request of class `book`, by [`CONFIGURATION`].
+pub const KEY_WINDOW: Duration = Duration::from_millis(200);
+/// How long the router stands still: longer than its margin before the end of a key window, and shorter than its margin
+/// before a deadline.
+pub const STALL: Duration = Duration::from_millis(40);
 /// The estimated work of every request, in milliseconds on one core.
 pub const REQUEST_WORK_MS: f64 = 20.0;
 /// The estimated memory of every request, in MB.
@@ -54,6 +59,8 @@
     pub terminates: bool,
     /// Whether clients stop reading after a few bytes, and may resume later.
     pub slow_readers: bool,
+    /// Largest number of times that the router stands still for [`STALL`], so that it handles its timers late.
+    pub max_stalls: u8,
     /// Whether lines arrive in two pieces.
     pub split_lines: bool,
     /// Number of transitions from the initial state at which states are no longer expanded; `None` for no limit.
@@ -74,6 +81,7 @@
         drains: false,
         terminates: false,
         slow_readers: false,
+        max_stalls: 0,
         split_lines: false,
         max_depth: None,
         in_short_set: true,
--- a/crates/model-checker/src/router_model/scenarios.rs
+++ b/crates/model-checker/src/router_model/scenarios.rs
@@ -104,4 +104,12 @@
         terminates: true,
         ..RouterScenario::BASE
     },
+    RouterScenario {
+        name: "idempotency key, late write",
+        description: "a request with an idempotency key whose retry waits for its connection, and a router that stands still once",
+        engines: 2,
+        client_lines: &[&[IDEMPOTENT_WITH_KEY]],
+        max_stalls: 1,
+        ..RouterScenario::BASE
+    },
 ];
--- a/crates/model-checker/src/router_model/state.rs
+++ b/crates/model-checker/src/router_model/state.rs
@@ -1,6 +1,6 @@
 //! The state of the router model: the router, its clients and its engines.
 
-use super::scenario::{CONFIGURATION, RouterScenario};
+use super::scenario::{CONFIGURATION, KEY_WINDOW, RouterScenario};
 use crate::search::START_TIME;
 use crate::wire::{Peer, ready_endpoint};
 use emberflow::EndpointUpdate;
@@ -64,6 +64,8 @@
     pub request_number: u64,
     /// Whether the class of the request is non-idempotent.
     pub is_non_idempotent: bool,
+    /// Whether engines recognize a repetition of the request for [`KEY_WINDOW`].
+    pub has_idempotency_key: bool,
     /// The time by which the request must be answered.
     pub deadline: Duration,
     /// Number of answers that the client has read.
@@ -81,6 +83,8 @@
     pub request: Option<usize>,
     /// The connection on which the call arrived.
     pub connection: Slot,
+    /// The time at which the call arrived.
+    pub arrived_at: Duration,
     /// Whether the engine has answered the call, or will not answer it because it was cancelled or the connection is
     /// lost.
     pub has_ended: bool,
@@ -116,6 +120,8 @@
     pub results: Vec<ResultRecord>,
     /// Number of connections that engines have reset or refused.
     pub faults: u8,
+    /// Number of times that the router has stood still.
+    pub stalls: u8,
     /// Whether the endpoint list has reported the first engine as draining.
     pub is_draining: bool,
     /// Whether the process has received the signal to terminate.
@@ -152,6 +158,7 @@
             calls: Vec::new(),
             results: Vec::new(),
             faults: 0,
+            stalls: 0,
             is_draining: false,
             is_terminating: false,
             violated_invariant: None,
@@ -173,6 +180,17 @@
         self.requests.iter().position(|request| has_number(request) && self.is_open(request))
     }
 
+    /// Returns the time for which engines still remember the key of a request that may have run, zero once they have
+    /// forgotten it; `None` for a request without a key, or that has not run.
+    pub fn key_window_left(&self, request: usize) -> Option<Duration> {
+        if !self.requests[request].has_idempotency_key {
+            return None;
+        }
+        let mut calls = self.calls.iter();
+        let first = calls.find(|call| call.request == Some(request) && call.may_have_run)?;
+        Some((first.arrived_at + KEY_WINDOW).saturating_sub(self.now))
+    }
+
     /// Returns events that a faulty router could emit in this state, to find the invariants that the state exercises.
     pub fn hypothetical_events(&self) -> Vec<Event> {
         let mut events = vec![Event::Terminal, Event::TimePasses { to: Duration::MAX }];
@@ -212,6 +230,10 @@
             (call.request_number, call.request, call.has_ended, call.may_have_run, connection)
                 .hash(&mut hasher);
         }
+        for position in 0..self.requests.len() {
+            self.key_window_left(position).hash(&mut hasher);
+        }
+        self.stalls.hash(&mut hasher);
         (self.faults, self.is_draining, self.is_terminating, self.server.has_stopped()).hash(&mut hasher);
         self.violated_invariant.hash(&mut hasher);
         hasher.finish()
--- a/crates/model-checker/src/router_model/transition.rs
+++ b/crates/model-checker/src/router_model/transition.rs
@@ -37,6 +37,8 @@
     Terminate,
     /// The clock advances to the next timer of the router.
     PassTime,
+    /// The clock advances while the router stands still: timers that expire meanwhile are handled later.
+    Stall,
 }
 
 /// Appends the transitions that are enabled in a state.
@@ -54,6 +56,7 @@
     }
     if !state.server.dispatcher.context.timers.is_empty() {
         transitions.push(Transition::PassTime);
+        transitions.extend((state.stalls < scenario.max_stalls).then_some(Transition::Stall));
     }
 }
 
