Soak: keys whose window ends in time, late failures, forgotten connections

Need: the soak could not see the fault. The window of its keys was 5 s, the deadline of requests with a key 2 s; no engine failed a call late or kept a connection that it had forgotten; effects per key and the truth of a rejection were not checked.

Change: the window is 0.6 s. Two kinds of faults, each with a separate generator, so that the other faults of a seed stay the same: `fail-late` and `forget`. Two invariants from the records of engines and clients: KeyWindow and UnsafeRejection (also for non-idempotent requests). In an earlier test of a fleet that serves nothing, the requests have no attempts now: engines had started them, and they were non-idempotent and rejected, which is a violation of its own.

--- a/crates/model-checker/src/connection_model/scenarios.rs
+++ b/crates/model-checker/src/connection_model/scenarios.rs
@@ -15,7 +15,7 @@
 ];
 
 /// Time after the start of an attempt from which its call must not be written, shorter than a call's timeout.
-const KEY_WINDOW: Duration = Duration::from_millis(150);
+const KEY_WINDOW: Duration = Duration::from_millis(300);
 
 /// All scenarios of the connection model.
 pub const SCENARIOS: &[ConnectionScenario] = &[
--- a/crates/model-checker/src/router_model/scenarios.rs
+++ b/crates/model-checker/src/router_model/scenarios.rs
@@ -106,10 +106,10 @@
     },
     RouterScenario {
         name: "idempotency key, late write",
-        description: "a request with an idempotency key whose retry waits for its connection, and a router that stands still once",
+        description: "a request with an idempotency key whose retry waits for its connection, and a router that stands still twice",
         engines: 2,
         client_lines: &[&[IDEMPOTENT_WITH_KEY]],
-        max_stalls: 1,
+        max_stalls: 2,
         ..RouterScenario::BASE
     },
 ];
--- a/crates/router/tests/unit/partial_calls.rs
+++ b/crates/router/tests/unit/partial_calls.rs
@@ -49,7 +49,8 @@
     expect![[r#"
         499ms: 61 bytes, in flight, open true
         500ms: 0 bytes, Broken, open false
-    "#]].assert_eq(&outcomes.concat());
+    "#]]
+    .assert_eq(&outcomes.concat());
 }
 
 /// Guards against an answer that waits for the socket although the call can no longer be written in time.
@@ -60,7 +61,8 @@
     fixture.pool.call_expired(fixture.attempt, &mut fixture.context);
     expect![[r#"
         500ms: 0 bytes, Broken, open false
-    "#]].assert_eq(&fixture.write_at(KEY_WINDOW_END));
+    "#]]
+    .assert_eq(&fixture.write_at(KEY_WINDOW_END));
 }
 
 /// Guards against an attempt that begins long after its client has left: the rest of its call was written whenever the
@@ -77,7 +79,8 @@
     expect![[r#"
         149ms: 98 bytes, Cancelled, open true
         150ms: 0 bytes, Cancelled, open false
-    "#]].assert_eq(&outcomes);
+    "#]]
+    .assert_eq(&outcomes);
 }
 
 /// Guards against a retracted call that is taken for one that was written in part: another message may have its place in
@@ -90,5 +93,6 @@
     fixture.pool.send_ping(fixture.connection, &mut fixture.context);
     expect![[r#"
         500ms: 21 bytes, Lapsed(KeyWindow), open true
-    "#]].assert_eq(&fixture.write_at(KEY_WINDOW_END));
+    "#]]
+    .assert_eq(&fixture.write_at(KEY_WINDOW_END));
 }
--- a/crates/soak/src/config.rs
+++ b/crates/soak/src/config.rs
@@ -37,8 +37,9 @@
 const MAX_MEMORY_SHARE: f64 = 0.4;
 /// Fraction of the priority weight that a late answer is worth.
 const LATE_VALUE_SHARE: f64 = 0.1;
-/// How long engines remember an idempotency key.
-const IDEMPOTENCY_WINDOW: Duration = Duration::from_millis(5000);
+/// How long engines remember an idempotency key: less than the deadline of requests with a key, so that windows end
+/// while requests are open.
+pub const IDEMPOTENCY_WINDOW: Duration = Duration::from_millis(600);
 
 /// The slow start of an engine: the load that routers may send to it while it is warming up.
 #[derive(Clone, Copy)]
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -43,6 +43,8 @@
     },
     /// The engine answers each call with a failure.
     Failing,
+    /// The engine runs each call for most of the window of an idempotency key, and then answers with a failure.
+    FailingLate,
     /// Only the first half of each result is sent.
     Truncating,
     /// Results have several pages, and half of them are spoilt.
@@ -91,6 +93,8 @@
     engine: usize,
     /// The incarnation of the engine that accepted the connection.
     incarnation: u32,
+    /// Whether the engine has forgotten the connection: it reads what arrives, and answers nothing.
+    is_forgotten: bool,
     stream: Stream,
 }
 
@@ -195,7 +199,8 @@
                 continue;
             };
             let incarnation = self.engines[engine].incarnation;
-            self.connections.insert(index, EngineConnection { engine, incarnation, stream });
+            self.connections
+                .insert(index, EngineConnection { engine, incarnation, is_forgotten: false, stream });
             self.engines[engine].connections.push(index);
             records.engine_connections += 1;
         }
@@ -206,7 +211,10 @@
         let fault = self.engines[connection.engine].fault;
         // A silent engine's input is read too, so that its commands have the arrival time of this read.
         let state = connection.stream.fill(now);
-        if fault == EngineFault::Silent {
+        if connection.is_forgotten && state == StreamState::Ended {
+            return self.close(index, now, records);
+        }
+        if fault == EngineFault::Silent || connection.is_forgotten {
             return;
         }
         connection.stream.is_muted = fault == EngineFault::Mute;
@@ -256,6 +264,18 @@
         }
     }
 
+    /// Forgets the connections of an engine on which no call runs, even if a call is in transit on them.
+    pub fn forget_idle_connections(&mut self, engine: usize) {
+        let engine = &self.engines[engine];
+        let idle: Vec<usize> =
+            engine.connections.iter().copied().filter(|index| !engine.has_call_on(*index)).collect();
+        for index in idle {
+            if let Some(connection) = self.connections.get_mut(index) {
+                connection.is_forgotten = true;
+            }
+        }
+    }
+
     /// Ends an engine's process: its connections are reset, new ones are refused, and its fault ends.
     pub fn stop(&mut self, engine: usize, now: Duration, records: &mut Records) {
         self.reset_connections(engine, now, records);
--- a/crates/soak/src/engines/calls.rs
+++ b/crates/soak/src/engines/calls.rs
@@ -1,7 +1,7 @@
 //! Calls to engines: the commands that engines handle, the load model that sets how long calls run, and the replies.
 
 use super::{Engine, EngineConnection, EngineFault, Engines};
-use crate::config::{CORES_PER_ENGINE, PROGRESS_INTERVAL};
+use crate::config::{CORES_PER_ENGINE, IDEMPOTENCY_WINDOW, PROGRESS_INTERVAL};
 use crate::records::{Attempt, Records};
 use crate::statements::{result_page, work_ms, work_of};
 use emberflow_peer_protocol::engine::{Call, EngineCommand, EngineReply, UsedResources};
@@ -17,6 +17,12 @@
 /// The memory need that each result reports, in MB.
 const NEEDED_MEMORY_MB: f64 = 10.0;
 
+/// Shortest time after which an engine with [`EngineFault::FailingLate`] fails a call, as a fraction of the window of an
+/// idempotency key.
+const LATE_FAILURE_FRACTION: f64 = 0.6;
+/// The base of the digits of a request id.
+const REQUEST_ID_RADIX: u32 = 16;
+
 /// A call that an engine runs.
 pub(super) struct RunningCall {
     /// Index of the connection on which the call came.
@@ -25,6 +31,8 @@
     attempt: usize,
     work: Duration,
     ends_at: Duration,
+    /// Whether the call ends with a failure.
+    fails: bool,
 }
 
 /// Identifies the call for which a timer was set. A timer is ignored if its call no longer runs.
@@ -132,8 +140,10 @@
             return self.send(connection, &call.request_id, refusal);
         }
         let work = work_of(&call.statement).unwrap_or(DEFAULT_WORK);
-        let ends_at = now + engine.run_time(work);
-        let running = RunningCall { connection, attempt: request.attempts.len() - 1, work, ends_at };
+        let fails = engine.fault == EngineFault::FailingLate;
+        let run_time = if fails { late_failure_time(&call.request_id) } else { engine.run_time(work) };
+        let ends_at = now + run_time;
+        let running = RunningCall { connection, attempt: request.attempts.len() - 1, work, ends_at, fails };
         engine.running.insert(call.request_id.clone(), running);
         let key = CallKey {
             engine: engine_index,
@@ -183,6 +193,9 @@
         }
         let Some(call) = engine.running.remove(request_id) else { return };
         record_end(request_id, call.attempt, now, records);
+        if call.fails {
+            return self.send(call.connection, request_id, EngineReply::Failed);
+        }
         let fault = engine.fault;
         let used = UsedResources { work_ms: work_ms(call.work), memory_mb: NEEDED_MEMORY_MB };
         let reply = if fault == EngineFault::Spoiling {
@@ -214,6 +227,14 @@
     }
 }
 
+/// Returns the time after which an engine with [`EngineFault::FailingLate`] fails a call: a part of the window of an
+/// idempotency key, from [`LATE_FAILURE_FRACTION`] on, that follows from the last digit of the request's id.
+fn late_failure_time(request_id: &str) -> Duration {
+    let last_digit = request_id.chars().last().and_then(|digit| digit.to_digit(REQUEST_ID_RADIX));
+    let part = f64::from(last_digit.unwrap_or_default()) / f64::from(REQUEST_ID_RADIX);
+    IDEMPOTENCY_WINDOW.mul_f64(LATE_FAILURE_FRACTION + (1.0 - LATE_FAILURE_FRACTION) * part)
+}
+
 /// Records that an engine has made a result of this many pages for an attempt.
 pub(super) fn record_result(request_id: &str, attempt: usize, pages: u32, records: &mut Records) {
     if let Some(record) = attempt_record(request_id, attempt, records) {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -40,6 +40,12 @@
     /// Some engines close connections without open calls, even if a call is in transit.
     #[value(name = "idle-close")]
     IdleCloses,
+    /// Some engines forget the connections without open calls: they stay open, and nothing on them is answered.
+    #[value(name = "forget")]
+    ForgottenConnections,
+    /// Some engines run each call for most of the window of an idempotency key, and then fail it, for a while.
+    #[value(name = "fail-late")]
+    LateFailures,
     /// Some engines are drained, stopped and restarted.
     #[value(name = "drain")]
     EngineDrains,
@@ -98,6 +104,10 @@
 const FAULTS_PER_SECOND: f64 = 1.2;
 /// Number of faults with spoilt results, as a fraction of all others.
 const SPOILT_RESULTS_SHARE: f64 = 0.25;
+/// Number of faults with forgotten connections, as a fraction of all others.
+const FORGOTTEN_CONNECTIONS_SHARE: f64 = 0.25;
+/// Number of faults with late failures, as a fraction of all others.
+const LATE_FAILURES_SHARE: f64 = 0.15;
 /// Earliest start of a fault, in seconds from the start of the traffic.
 const FIRST_FAULT_AT_S: f64 = 1.0;
 /// Minimum length of the period in which faults start, in seconds.
@@ -106,18 +116,46 @@
 const ENGINE_FRACTIONS: Range<f64> = 0.05..0.3;
 const TARGETS: Range<usize> = 0..1000;
 
-/// Multiplied with a run's seed, gives the seed of the generator of [`FaultKind::SpoiltResults`].
-const SPOILT_RESULTS_SEED_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+/// A kind of fault with a separate random generator, so that the other faults of a seed are those of runs before this
+/// kind was added.
+struct SeparateKind {
+    kind: FaultKind,
+    /// Multiplied with a run's seed, gives the seed of the generator.
+    seed_factor: u64,
+    /// Number of faults of the kind, as a fraction of all others.
+    share: f64,
+}
+
+const SEPARATE_KINDS: [SeparateKind; 3] = [
+    SeparateKind {
+        kind: FaultKind::SpoiltResults,
+        seed_factor: 0x9e37_79b9_7f4a_7c15,
+        share: SPOILT_RESULTS_SHARE,
+    },
+    SeparateKind {
+        kind: FaultKind::ForgottenConnections,
+        seed_factor: 0xbf58_476d_1ce4_e5b9,
+        share: FORGOTTEN_CONNECTIONS_SHARE,
+    },
+    SeparateKind {
+        kind: FaultKind::LateFailures,
+        seed_factor: 0x94d0_49bb_1331_11eb,
+        share: LATE_FAILURES_SHARE,
+    },
+];
 
-/// Draws the faults of the run with this seed; returns them in the order in which they start. Spoilt results have a
-/// separate random generator, so that the other faults of a seed are those of runs before this kind was added.
+/// Draws the faults of the run with this seed; returns them in the order in which they start.
 pub fn plan(seed: u64, rng: &mut StdRng, kinds: &[FaultKind], seconds: f64) -> Vec<Fault> {
-    let (spoilt, others): (Vec<FaultKind>, Vec<FaultKind>) =
-        kinds.iter().partition(|kind| **kind == FaultKind::SpoiltResults);
+    let is_separate = |kind: &FaultKind| SEPARATE_KINDS.iter().any(|separate| separate.kind == *kind);
+    let others: Vec<FaultKind> = kinds.iter().copied().filter(|kind| !is_separate(kind)).collect();
     let mut faults = draw(rng, &others, seconds);
-    let mut spoilt_rng = StdRng::seed_from_u64(seed.wrapping_mul(SPOILT_RESULTS_SEED_FACTOR));
-    let spoilt_share = if others.is_empty() { 1.0 } else { SPOILT_RESULTS_SHARE };
-    faults.extend(draw(&mut spoilt_rng, &spoilt, seconds * spoilt_share));
+    for SeparateKind { kind, seed_factor, share } in SEPARATE_KINDS {
+        if kinds.contains(&kind) {
+            let mut separate_rng = StdRng::seed_from_u64(seed.wrapping_mul(seed_factor));
+            let share = if others.is_empty() { 1.0 } else { share };
+            faults.extend(draw(&mut separate_rng, &[kind], seconds * share));
+        }
+    }
     faults.sort_by_key(|fault| fault.at);
     faults
 }
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -2,7 +2,7 @@
 //! resource usage of the routers' processes. Data that the routers report about themselves is not used.
 
 use crate::classes::RequestClass;
-use crate::config::{MAX_ATTEMPTS, ProcessLimits, SlowStart};
+use crate::config::{IDEMPOTENCY_WINDOW, MAX_ATTEMPTS, ProcessLimits, SlowStart};
 use crate::records::{
     AnswerKind, Attempt, Departure, Drain, EngineStart, Outage, OutageKind, Records, RequestRecord, Usage,
 };
@@ -18,6 +18,8 @@
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 /// How long before the end of its connection a request may have been sent without reaching the router.
 const TRANSIT_TIME: Duration = Duration::from_millis(50);
+/// How much later than the end of its key's window an attempt may arrive, by the protocol.
+const KEY_WINDOW_SLACK: Duration = Duration::from_millis(50);
 /// How long after the delivery of a drain a router may still send calls to the engine.
 const DRAIN_GRACE: Duration = Duration::from_secs(2);
 /// Limit N of a slow start below which [`SMALL_SPREAD`] applies.
@@ -43,6 +45,10 @@
     ForwardedAfterEnd,
     /// No non-idempotent request is started twice.
     RunTwice,
+    /// No request with an idempotency key is started again after the engines have forgotten the key.
+    KeyWindow,
+    /// No request is rejected if its client's retry may have a second effect.
+    UnsafeRejection,
     /// No request has more attempts than the settings allow.
     TooManyAttempts,
     /// The time left in a call does not exceed the time until the client's deadline.
@@ -158,6 +164,12 @@
     if let Some(description) = describe_repeated_run(request) {
         add(Invariant::RunTwice, description);
     }
+    if let Some(description) = describe_run_after_key_window(request, slack) {
+        add(Invariant::KeyWindow, description);
+    }
+    if let Some(description) = describe_unsafe_rejection(request, slack) {
+        add(Invariant::UnsafeRejection, description);
+    }
     if request.attempts.len() > MAX_ATTEMPTS {
         add(Invariant::TooManyAttempts, format!("{} attempts", request.attempts.len()));
     }
@@ -247,6 +259,33 @@
     (request.class == RequestClass::Post && starts > 1).then(|| format!("engines started it {starts} times"))
 }
 
+/// Returns the time at which the engines have forgotten the key of a request; `None` if the request has no key or no engine
+/// has started it.
+fn key_forgotten_at(request: &RequestRecord, slack: Duration) -> Option<Duration> {
+    let started = request.attempts.iter().filter(|attempt| attempt.started);
+    let first_start = started.map(|attempt| attempt.at).min()?;
+    let has_key = request.class == RequestClass::Load;
+    has_key.then_some(first_start + IDEMPOTENCY_WINDOW + KEY_WINDOW_SLACK + slack)
+}
+
+/// Describes an attempt that an engine started after the engines had forgotten the request's key.
+fn describe_run_after_key_window(request: &RequestRecord, slack: Duration) -> Option<String> {
+    let forgotten_at = key_forgotten_at(request, slack)?;
+    let mut started = request.attempts.iter().filter(|attempt| attempt.started);
+    let late = started.find(|attempt| attempt.at > forgotten_at)?;
+    Some(format!("engines started it again {:?} after they had forgotten its key", late.at - forgotten_at))
+}
+
+/// Describes a rejection, which says that a retry is harmless, of a request that an engine has started and whose repetition
+/// engines do not recognize.
+fn describe_unsafe_rejection(request: &RequestRecord, slack: Duration) -> Option<String> {
+    let rejection = request.answers.iter().find(|answer| answer.kind == AnswerKind::Rejected)?;
+    let has_started = request.attempts.iter().any(|attempt| attempt.started);
+    let is_forgotten = key_forgotten_at(request, slack).is_some_and(|at| rejection.at > at);
+    let is_unsafe = has_started && request.class == RequestClass::Post || is_forgotten;
+    is_unsafe.then(|| "rejected although a retry may have a second effect".to_owned())
+}
+
 fn check_drains(records: &Records) -> Vec<Violation> {
     let mut drains_by_engine: BTreeMap<usize, Vec<&Drain>> = BTreeMap::new();
     for drain in &records.drains {
--- a/crates/soak/src/soak_run/fault_injection.rs
+++ b/crates/soak/src/soak_run/fault_injection.rs
@@ -37,11 +37,13 @@
             FaultKind::SlowEngines => self.inject_engine_fault(fault, SLOW_ENGINE, now),
             FaultKind::FailingEngines => self.inject_engine_fault(fault, EngineFault::Failing, now),
             FaultKind::TruncatedResults => self.inject_engine_fault(fault, EngineFault::Truncating, now),
-            FaultKind::SpoiltResults => self.spoil_results(fault, now),
+            FaultKind::SpoiltResults => self.inject_separate_fault(fault, EngineFault::Spoiling, now),
             FaultKind::SmallWrites => self.inject_engine_fault(fault, EngineFault::SmallWrites, now),
             FaultKind::ConnectionResets => self.reset_connections(fault, now),
             FaultKind::DelayedConnects => self.delay_connects(fault, now)?,
             FaultKind::IdleCloses => self.close_idle_connections(fault),
+            FaultKind::LateFailures => self.inject_separate_fault(fault, EngineFault::FailingLate, now),
+            FaultKind::ForgottenConnections => self.forget_connections(fault),
             FaultKind::EngineDrains => self.drain_engines(fault, now),
             FaultKind::EngineCrashes => {
                 let engines = self.draw_engines(fault.engine_fraction);
@@ -69,14 +71,23 @@
         draw_ready_engines(&self.discovery.endpoints, fraction, &mut self.rng)
     }
 
-    /// Lets some engines spoil their results. They are drawn by a separate generator, as the faults themselves are.
-    fn spoil_results(&mut self, fault: Fault, now: Duration) {
+    /// Injects a fault of some engines. They are drawn by a separate generator, as the faults themselves are.
+    fn inject_separate_fault(&mut self, fault: Fault, engine_fault: EngineFault, now: Duration) {
         let mut rng = StdRng::seed_from_u64(fault.target as u64);
         let engines = draw_ready_engines(&self.discovery.endpoints, fault.engine_fraction, &mut rng);
-        self.set_engine_faults(&engines, EngineFault::Spoiling, now);
+        self.set_engine_faults(&engines, engine_fault, now);
         self.timers.set(now + fault.duration, Timer::EndEngineFault { engines });
     }
 
+    /// Lets some engines forget their idle connections. They are drawn by a separate generator, as the faults themselves
+    /// are.
+    fn forget_connections(&mut self, fault: Fault) {
+        let mut rng = StdRng::seed_from_u64(fault.target as u64);
+        for engine in draw_ready_engines(&self.discovery.endpoints, fault.engine_fraction, &mut rng) {
+            self.engines.forget_idle_connections(engine);
+        }
+    }
+
     /// Returns the ready engines of the zone that a fault affects.
     fn engines_of_zone(&self, fault: Fault) -> Vec<usize> {
         let zone = fault.target % ZONES.len();
--- a/crates/soak/tests/faults.rs
+++ b/crates/soak/tests/faults.rs
@@ -41,3 +41,14 @@
     const HIGH_RATE: f64 = 60.0;
     check_run(5, 12, HIGH_RATE, Some(vec![FaultName(Some(FaultKind::SpoiltResults))]));
 }
+
+/// Guards against retries that are written after the window of their key because they waited for a connection, and
+/// against rejections that call a retry safe after that. Its seeds differ from those of the other tests, which run at the
+/// same time, since the addresses of a run follow from its seed.
+#[test]
+fn requests_with_a_key_keep_its_window_when_engines_fail_late_and_forget_connections() {
+    const HIGH_RATE: f64 = 40.0;
+    let kinds = [FaultKind::SilentEngines, FaultKind::ForgottenConnections, FaultKind::LateFailures];
+    let faults = kinds.map(|kind| FaultName(Some(kind)));
+    (6..=7).for_each(|seed| check_run(seed, 8, HIGH_RATE, Some(faults.to_vec())));
+}
--- a/crates/soak/tests/interface.rs
+++ b/crates/soak/tests/interface.rs
@@ -10,7 +10,7 @@
 use std::path::Path;
 
 /// The fault names that `docs/soak.md` documents.
-const FAULT_NAMES: &str = "silent mute slow failing truncating spoiling pieces reset late-connect idle-close drain \
+const FAULT_NAMES: &str = "silent mute slow failing truncating spoiling pieces reset late-connect idle-close forget fail-late drain \
                            crash zone discovery-down discovery-silent list term kill stop reload leave burst crowd";
 
 #[test]
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -27,6 +27,7 @@
         router 1: ProcessFaults { slowdown: 1.0, clock_step_ms: -3000, clock_step_at_ms: 5330, fail_every: 0 }
         Fault { at: 1.002856544s, kind: TruncatedResults, duration: 1.274670397s, engine_fraction: 0.08043176669086118, target: 234 }
         Fault { at: 1.172949646s, kind: SpoiltResults, duration: 1.942200503s, engine_fraction: 0.10389888374087915, target: 564 }
+        Fault { at: 1.20209476s, kind: ForgottenConnections, duration: 758.132854ms, engine_fraction: 0.16041631806189544, target: 122 }
         Fault { at: 2.127500573s, kind: ConnectionResets, duration: 2.425488678s, engine_fraction: 0.14733177336641773, target: 889 }
         Fault { at: 3.007764536s, kind: IdleCloses, duration: 1.362726406s, engine_fraction: 0.07330966061101214, target: 85 }
         Fault { at: 3.384274679s, kind: Sigkill, duration: 2.30764995s, engine_fraction: 0.16750637968401222, target: 125 }
--- a/crates/soak/tests/unit/invariants.rs
+++ b/crates/soak/tests/unit/invariants.rs
@@ -87,6 +87,32 @@
     assert_eq!(violated_by(attempted_too_often), [Invariant::TooManyAttempts]);
 }
 
+#[test]
+fn a_repeated_effect_and_a_rejection_after_the_window_of_a_key_are_detected() {
+    let forgotten_after = IDEMPOTENCY_WINDOW + KEY_WINDOW_SLACK;
+    let request = |second_attempt: Duration, kind, answered: Duration| {
+        let first_at = ms(1010);
+        let second = Attempt { at: first_at + second_attempt, time_left: ms(0), ..attempt(0) };
+        invariants_violated_by(
+            RequestRecord {
+                class: RequestClass::Load,
+                attempts: vec![attempt(1010), second],
+                answers: vec![Answer { at: first_at + answered, kind }],
+                ..served_request()
+            },
+            |_| {},
+        )
+    };
+    let served_after = |time| request(time, AnswerKind::Succeeded, time + ms(1));
+    assert_eq!(served_after(forgotten_after), []);
+    assert_eq!(served_after(forgotten_after + ms(1)), [Invariant::KeyWindow]);
+    let rejected_after = |time| request(ms(1), AnswerKind::Rejected, time);
+    assert_eq!(rejected_after(forgotten_after), []);
+    assert_eq!(rejected_after(forgotten_after + ms(1)), [Invariant::UnsafeRejection]);
+    let reject = |served: &mut RequestRecord| served.answers[0].kind = AnswerKind::Rejected;
+    assert_eq!(violated_by(reject), [Invariant::UnsafeRejection]);
+}
+
 #[test]
 fn a_request_is_lost_unless_in_transit_at_the_close() {
     let closed_at = |at| {
@@ -147,7 +173,10 @@
 #[test]
 fn a_fleet_that_serves_no_requests_violates_idle() {
     let reject_all = |records: &mut Records| {
-        records.requests.values_mut().for_each(|request| request.answers[0].kind = AnswerKind::Rejected);
+        for request in records.requests.values_mut() {
+            request.answers[0].kind = AnswerKind::Rejected;
+            request.attempts.clear();
+        }
     };
     assert_eq!(invariants_violated_by(served_request(), reject_all), [Invariant::Idle]);
 }
