Soak: the checks of effects have a function of their own

The three checks of effects move into check_effects; the violations and their order in a report stay the same for a request, but for those of effects, which come last.

--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -161,15 +161,6 @@
     if let Some(description) = describe_forwarding_after_end(request, slack) {
         add(Invariant::ForwardedAfterEnd, description);
     }
-    if let Some(description) = describe_repeated_run(request) {
-        add(Invariant::RunTwice, description);
-    }
-    if let Some(description) = describe_run_after_key_window(request, slack) {
-        add(Invariant::KeyWindow, description);
-    }
-    if let Some(description) = describe_unsafe_rejection(request, slack) {
-        add(Invariant::UnsafeRejection, description);
-    }
     if request.attempts.len() > MAX_ATTEMPTS {
         add(Invariant::TooManyAttempts, format!("{} attempts", request.attempts.len()));
     }
@@ -178,6 +169,19 @@
             add(Invariant::Deadline, description);
         }
     }
+    violations.extend(check_effects(request_id, request, slack));
+    violations
+}
+
+/// Checks that a request has no second effect, and that its answer does not invite its client to cause one.
+fn check_effects(request_id: &str, request: &RequestRecord, slack: Duration) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let mut add = |invariant, description: Option<String>| {
+        violations.extend(description.map(|text| Violation::of_request(invariant, request_id, text)));
+    };
+    add(Invariant::RunTwice, describe_repeated_run(request));
+    add(Invariant::KeyWindow, describe_run_after_key_window(request, slack));
+    add(Invariant::UnsafeRejection, describe_unsafe_rejection(request, slack));
     violations
 }
 
