--- a/crates/soak/src/soak_run/fault_injection.rs
+++ b/crates/soak/src/soak_run/fault_injection.rs
@@ -71,19 +71,20 @@
         draw_ready_engines(&self.discovery.endpoints, fraction, &mut self.rng)
     }
 
-    /// Injects a fault of some engines. They are drawn by a separate generator, as the faults themselves are.
-    fn inject_separate_fault(&mut self, fault: Fault, engine_fault: EngineFault, now: Duration) {
+    /// Draws the engines of a fault whose kind has a separate generator. They have one too, so that the other faults of a
+    /// seed affect the same engines as before the kind was added.
+    fn draw_engines_separately(&self, fault: Fault) -> Vec<usize> {
         let mut rng = StdRng::seed_from_u64(fault.target as u64);
-        let engines = draw_ready_engines(&self.discovery.endpoints, fault.engine_fraction, &mut rng);
-        self.set_engine_faults(&engines, engine_fault, now);
-        self.timers.set(now + fault.duration, Timer::EndEngineFault { engines });
+        draw_ready_engines(&self.discovery.endpoints, fault.engine_fraction, &mut rng)
+    }
+
+    fn inject_separate_fault(&mut self, fault: Fault, engine_fault: EngineFault, now: Duration) {
+        let engines = self.draw_engines_separately(fault);
+        self.start_engine_fault(engines, fault, engine_fault, now);
     }
 
-    /// Lets some engines forget their idle connections. They are drawn by a separate generator, as the faults themselves
-    /// are.
     fn forget_connections(&mut self, fault: Fault) {
-        let mut rng = StdRng::seed_from_u64(fault.target as u64);
-        for engine in draw_ready_engines(&self.discovery.endpoints, fault.engine_fraction, &mut rng) {
+        for engine in self.draw_engines_separately(fault) {
             self.engines.forget_idle_connections(engine);
         }
     }
@@ -99,6 +100,17 @@
 
     fn inject_engine_fault(&mut self, fault: Fault, engine_fault: EngineFault, now: Duration) {
         let engines = self.draw_engines(fault.engine_fraction);
+        self.start_engine_fault(engines, fault, engine_fault, now);
+    }
+
+    /// Sets the fault of engines, and the timer that ends it.
+    fn start_engine_fault(
+        &mut self,
+        engines: Vec<usize>,
+        fault: Fault,
+        engine_fault: EngineFault,
+        now: Duration,
+    ) {
         self.set_engine_faults(&engines, engine_fault, now);
         self.timers.set(now + fault.duration, Timer::EndEngineFault { engines });
     }
