A call that is cut off half-way counts as one that never ran

Found by reading the change again: when the router closes a connection because the limits of a partly written call have ended, it knows that the engine has no complete call. The attempt ended as Broken ("may have run"), so that a non-idempotent request was failed although a retry is safe, its key rested, and the engine's outlier count rose. It ends as Lapsed with its condition now. The other attempts on the connection break as before.

With it: a retry that had begun gives its place in the retry budget and in the slow-start budget back at the time from which it counted (its write, not its decision). Calls that were written to other connections in the same pass count before the next one is checked. A comment said that a restart empties the work sent to an engine; it does not, so the check for it is gone.

--- a/crates/router/src/engine_pool/attempt_lifecycle.rs
+++ b/crates/router/src/engine_pool/attempt_lifecycle.rs
@@ -9,7 +9,7 @@
 use crate::final_checks::CallRefusal;
 use crate::slots::Slot;
 use crate::timers::Timer;
-use emberflow::{AttemptEnded, AttemptOutcome, EngineId, LoadReport, SendCondition};
+use emberflow::{AttemptEnded, AttemptOutcome, EngineId, LoadReport};
 
 impl EnginePool {
     /// Sends an attempt, and returns its slot. The attempt is not sent on any of the `excluded_connections`, because a
@@ -138,16 +138,6 @@
         }
     }
 
-    /// Ends an attempt whose call waits on a connection, because a condition of the scheduler's decision lapsed.
-    pub fn refuse_lapsed_call(
-        &mut self,
-        attempt_slot: Slot,
-        condition: SendCondition,
-        context: &mut Context,
-    ) {
-        self.refuse_call(attempt_slot, CallRefusal::Lapsed(condition), context);
-    }
-
     /// Times out an attempt whose deadline has passed. The caller reads the attempt's connection first, so that a
     /// result that arrived in time counts.
     pub fn attempt_overdue(&mut self, attempt_slot: Slot, context: &mut Context) {
--- a/crates/router/src/engine_pool/write_queue.rs
+++ b/crates/router/src/engine_pool/write_queue.rs
@@ -103,8 +103,8 @@
         })
     }
 
-    /// Ends an attempt whose call may no longer be written. The attempt never ran.
-    pub(super) fn refuse_call(&mut self, attempt_slot: Slot, refusal: CallRefusal, context: &mut Context) {
+    /// Ends an attempt whose call may no longer be written. The attempt never ran. Has no effect if the attempt has ended.
+    pub fn refuse_call(&mut self, attempt_slot: Slot, refusal: CallRefusal, context: &mut Context) {
         if let Some(attempt) = self.attempts.get(attempt_slot) {
             refusal.record(attempt.request, attempt.number, &mut context.counters);
             self.end(attempt_slot, refusal.outcome(), None, context);
@@ -197,7 +197,7 @@
     }
 
     /// Closes a connection with a call of which only a part was written, if the rest must not be written any more. The
-    /// engine then has no complete call, and does not run it. Returns whether the connection was closed.
+    /// engine then has no complete call, so the attempt never ran. Returns whether the connection was closed.
     pub(super) fn close_if_partial_call_lapsed(
         &mut self,
         connection_slot: Slot,
@@ -208,6 +208,7 @@
         let Some(condition) = call.limits.lapsed_at(context.now()) else { return false };
         context.counters.count("calls_cut_off");
         log::info!("call cut off: connection={connection_slot:?} reason={condition:?}");
+        self.refuse_call(call.attempt, CallRefusal::Lapsed(condition), context);
         let reason = "a call was written only in part when its limits ended";
         self.close_connection(connection_slot, reason, Reachability::Reachable, context);
         true
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -18,6 +18,7 @@
 use crate::discovery::Discovery;
 use crate::dispatch::{Dispatcher, RequestOutcome};
 use crate::engine_pool::PoolEvent;
+use crate::final_checks::CallRefusal;
 use crate::jsonrpc;
 use crate::ring::RingBuffer;
 use crate::slots::Slot;
@@ -179,12 +180,17 @@
     /// holds. Must be called directly before the connection is written to. The end of each attempt changes what the
     /// others may use, so the scheduler handles it before the next is checked.
     pub fn end_lapsed_attempts(&mut self, connection: Slot) {
-        for attempt_slot in self.dispatcher.engines.waiting_attempts(connection) {
+        let waiting = self.dispatcher.engines.waiting_attempts(connection);
+        if !waiting.is_empty() {
+            // Calls that were written to other connections just now count.
+            self.process_attempt_events();
+        }
+        for attempt_slot in waiting {
             let now = self.dispatcher.context.now();
             let Some((request, attempt)) = self.dispatcher.engines.request_of(attempt_slot) else { continue };
             let Some(condition) = self.scheduler.lapsed_condition(now, request, attempt) else { continue };
             let Dispatcher { engines, context, .. } = &mut self.dispatcher;
-            engines.refuse_lapsed_call(attempt_slot, condition, context);
+            engines.refuse_call(attempt_slot, CallRefusal::Lapsed(condition), context);
             self.process_events();
         }
     }
--- a/src/input.rs
+++ b/src/input.rs
@@ -112,7 +112,8 @@
     Cancelled,
     /// The attempt was cancelled before it was sent. It never ran.
     NotSent,
-    /// The attempt was not sent, because this condition no longer held when it was to be written. It never ran.
+    /// The attempt was not sent, or not completely, because this condition no longer held when it was to be written. It
+    /// never ran.
     Lapsed(SendCondition),
 }
 
--- a/src/policy/send_conditions.rs
+++ b/src/policy/send_conditions.rs
@@ -49,10 +49,9 @@
         let work = self.slow_start_work(request.class);
         let Some(limit) = self.slow_start_limit(engine, work, now, share) else { return true };
         let window_start = now.saturating_sub(limit.window);
-        // An attempt that was sent before its engine restarted is not part of the work since the restart.
-        let is_counted = sent.sent_at >= window_start && engine.sent_work.contains(sent.sent_at);
-        let other_work = if is_counted { 0.0 } else { work };
-        let all_work = engine.sent_work.since(window_start).sum::<f64>() + other_work;
+        // An attempt that was decided on within the window is part of the sum already.
+        let uncounted_work = if sent.sent_at >= window_start { 0.0 } else { work };
+        let all_work = engine.sent_work.since(window_start).sum::<f64>() + uncounted_work;
         all_work <= limit.max_work * (1.0 + ROUNDING_TOLERANCE)
     }
 
@@ -81,17 +80,19 @@
         engine.sent_work.push(now, work);
     }
 
-    /// Removes an attempt that was not written from the limits over time windows: it has used no part of them.
+    /// Removes an attempt that was not written completely from the limits over time windows: it has used no part of them.
     pub fn forget_unwritten(&mut self, sent: &Attempt, is_retry: bool) {
+        let begun_late = sent.written_at.filter(|at| self.is_delayed(*at, sent.sent_at));
+        let counted_at = begun_late.unwrap_or(sent.sent_at);
         if is_retry {
-            self.remove_retry(sent.sent_at);
+            self.remove_retry(counted_at);
         }
         if let Some(engine) = self.engines.get_mut(&sent.engine) {
-            engine.sent_work.remove(sent.sent_at);
+            engine.sent_work.remove(counted_at);
         }
     }
 
-    /// Removes a retry that was decided on at `at` from the retry budget. Returns whether there was one.
+    /// Removes a retry that counts from `at` from the retry budget. Returns whether there was one.
     fn remove_retry(&mut self, at: Duration) -> bool {
         let position = self.retried_at.iter().rposition(|retried| *retried == at);
         position.and_then(|position| self.retried_at.remove(position)).is_some()
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -28,11 +28,6 @@
         self.samples.push_back((now, value));
     }
 
-    /// Returns whether there is a sample that was taken at `at`.
-    pub fn contains(&self, at: Duration) -> bool {
-        self.samples.iter().any(|(sampled_at, _)| *sampled_at == at)
-    }
-
     /// Removes the newest sample that was taken at `at` and returns its value; `None` if there is none.
     pub fn remove(&mut self, at: Duration) -> Option<f64> {
         let position = self.samples.iter().rposition(|(sampled_at, _)| *sampled_at == at)?;
